--- /dev/null
+++ b/src/chance/mod.rs
@@ -0,0 +1,120 @@
+//! Chances: run-time histograms, completion and pruning arithmetic of the thesis's PAM.
+
+mod history;
+
+pub use history::History;
+
+use crate::constants::BINS;
+
+/// A probability mass function over time: mass `k` lies at `origin + k * step` ms. Its last bin
+/// also holds all that lies beyond.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Pmf {
+    /// Time of the first bin, ms.
+    pub origin: f64,
+    /// Width of a bin, ms.
+    pub step: f64,
+    /// Mass of each bin; the sum is 1.
+    pub mass: Vec<f32>,
+}
+
+impl Pmf {
+    /// All mass at one time.
+    pub fn at(time: f64) -> Pmf {
+        Pmf { origin: time, step: 1.0, mass: vec![1.0] }
+    }
+
+    /// Mass spread evenly from `low` to `high`.
+    pub fn even(low: f64, high: f64) -> Pmf {
+        if high <= low {
+            return Pmf::at(low);
+        }
+        let step = (high - low) / BINS as f64;
+        Pmf { origin: low + step / 2.0, step, mass: vec![1.0 / BINS as f32; BINS] }
+    }
+
+    /// From weighted times. Without any weight: all at 0.
+    pub fn from_points(points: &[(f64, f64)]) -> Pmf {
+        let total: f64 = points.iter().map(|p| p.1).sum();
+        if total <= 0.0 {
+            return Pmf::at(0.0);
+        }
+        let held = points.iter().filter(|p| p.1 > 0.0);
+        let (low, high) =
+            held.clone().fold((f64::MAX, f64::MIN), |(l, h), p| (l.min(p.0), h.max(p.0)));
+        if high - low < 1.0 {
+            return Pmf::at(low);
+        }
+        let step = (high - low) / (BINS - 1) as f64;
+        let mut mass = vec![0.0; BINS];
+        for &(time, weight) in held {
+            let bin = (((time - low) / step).round() as usize).min(BINS - 1);
+            mass[bin] += (weight / total) as f32;
+        }
+        Pmf { origin: low, step, mass }
+    }
+
+    fn points(&self) -> impl Iterator<Item = (f64, f64)> + '_ {
+        let held = self.mass.iter().enumerate().filter(|(_, m)| **m > 0.0);
+        held.map(|(k, m)| (self.origin + k as f64 * self.step, f64::from(*m)))
+    }
+
+    /// The same, `by` ms later.
+    pub fn later(mut self, by: f64) -> Pmf {
+        self.origin += by;
+        self
+    }
+
+    /// The sum of two independent times (thesis, equation 3.1).
+    pub fn convolve(&self, other: &Pmf) -> Pmf {
+        if self.mass.len() == 1 {
+            return other.clone().later(self.origin);
+        }
+        if other.mass.len() == 1 {
+            return self.clone().later(other.origin);
+        }
+        let low = self.origin + other.origin;
+        let span =
+            (self.mass.len() - 1) as f64 * self.step + (other.mass.len() - 1) as f64 * other.step;
+        let step = span / (BINS - 1) as f64;
+        let mut mass = vec![0.0; BINS];
+        for (i, a) in self.mass.iter().enumerate().filter(|(_, a)| **a > 0.0) {
+            let base = i as f64 * self.step;
+            for (j, b) in other.mass.iter().enumerate() {
+                let bin = ((base + j as f64 * other.step) / step).round() as usize;
+                mass[bin.min(BINS - 1)] += a * b;
+            }
+        }
+        Pmf { origin: low, step, mass }
+    }
+
+    /// Moves mass past `deadline` onto it: a task that misses is dropped there, and what follows
+    /// in its line starts then at the latest (thesis, equations 3.2 to 3.4).
+    pub fn cut(self, deadline: f64) -> Pmf {
+        let last = self.origin + (self.mass.len() - 1) as f64 * self.step;
+        if last <= deadline {
+            return self;
+        }
+        let points: Vec<(f64, f64)> = self.points().map(|(t, m)| (t.min(deadline), m)).collect();
+        Pmf::from_points(&points)
+    }
+
+    /// Of a time known to be above `elapsed`: what then remains (design: a running task's
+    /// histogram drops times already elapsed). Past all of it, the longest time is the guess.
+    pub fn remaining(&self, elapsed: f64) -> Pmf {
+        let points: Vec<(f64, f64)> =
+            self.points().filter(|(t, _)| *t > elapsed).map(|(t, m)| (t - elapsed, m)).collect();
+        if points.is_empty() { Pmf::at(self.step.max(1.0)) } else { Pmf::from_points(&points) }
+    }
+
+    /// The chance to end before `deadline` (thesis, equation 3.5).
+    pub fn chance(&self, deadline: f64) -> f64 {
+        let before: f64 = self.points().filter(|(t, _)| *t < deadline).map(|(_, m)| m).sum();
+        before.min(1.0)
+    }
+
+    /// The expected time.
+    pub fn mean(&self) -> f64 {
+        self.points().map(|(t, m)| t * m).sum()
+    }
+}
--- /dev/null
+++ b/src/cluster/actor.rs
@@ -0,0 +1,320 @@
+//! The actors: they bring events to the core and carry its actions out.
+
+use super::{Action, Ask, Event, Node, Now, Reply, RequestId};
+use crate::cloud;
+use crate::constants::*;
+use crate::settings::Settings;
+use crate::store;
+use crate::wire::cloud as cloud_wire;
+use crate::wire::controllers::{self as controllers_wire, Beat};
+use crate::wire::state as state_wire;
+use crate::wire::workers::{self as workers_wire, Direct, Report};
+use crate::wire::{read, write};
+use actix::prelude::*;
+use awc::Client;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+
+/// Where the steady clock begins, ms: late enough to count back from.
+const STEADY_BEGIN_MS: u64 = 1_000_000_000;
+
+/// The one actor that owns the core.
+pub struct Controller {
+    node: Node,
+    settings: Arc<Settings>,
+    client: Client,
+    long: Client,
+    begin: Instant,
+    requests: HashMap<RequestId, oneshot::Sender<Reply>>,
+    next: RequestId,
+}
+
+/// A request from outside that wants an answer.
+#[derive(Message)]
+#[rtype(result = "Reply")]
+pub struct Incoming(pub Asked);
+
+/// What is asked.
+pub enum Asked {
+    /// By a user.
+    User(Ask),
+    /// By a worker.
+    Report(Box<Report>),
+}
+
+/// A heartbeat that came in; answered with our own.
+#[derive(Message)]
+#[rtype(result = "Beat")]
+pub struct BeatIn(pub Beat);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Happened(Event);
+
+impl Controller {
+    /// A controller ready to start.
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Controller {
+        let begin = Instant::now();
+        let node = Node::new(settings.clone(), seed, Now { steady: STEADY_BEGIN_MS, wall: wall() });
+        let client = |timeout: u64| {
+            Client::builder().disable_redirects().timeout(Duration::from_millis(timeout)).finish()
+        };
+        Controller {
+            node,
+            settings,
+            client: client(STORE_TIMEOUT_MS),
+            long: client(FOLLOW_TIMEOUT_MS),
+            begin,
+            requests: HashMap::new(),
+            next: 1,
+        }
+    }
+
+    fn now(&self) -> Now {
+        let steady = STEADY_BEGIN_MS + self.begin.elapsed().as_millis() as u64;
+        Now { steady, wall: wall() }
+    }
+
+    fn happen(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let now = self.now();
+        self.node.handle(event, now);
+        // An outcome that came up while calls were given out can bring more of them.
+        loop {
+            let actions = self.node.take_actions();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.act(action, ctx);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, ctx: &mut Context<Self>) {
+        let to = ctx.address();
+        match action {
+            Action::Reply(id, reply) => {
+                if let Some(answer) = self.requests.remove(&id) {
+                    let _ = answer.send(reply);
+                }
+            }
+            Action::Store(id, call) => {
+                let follow = matches!(call, store::Call::Follow { .. });
+                let client = if follow { self.long.clone() } else { self.client.clone() };
+                let at = self.settings.endpoints.state;
+                actix::spawn(async move {
+                    let outcome = call_store(&client, at, &call).await;
+                    to.do_send(Happened(Event::Store(id, outcome)));
+                });
+            }
+            Action::Cloud(call) => {
+                let client = self.long.clone();
+                let at = self.settings.endpoints.cloud;
+                actix::spawn(async move {
+                    let outcome = call_cloud(&client, at, &call).await;
+                    to.do_send(Happened(Event::Cloud(Box::new(call), outcome)));
+                });
+            }
+            Action::Direct(addr, message) => {
+                let client = self.client.clone();
+                actix::spawn(async move {
+                    if let Some(report) = call_worker(&client, &addr, &message).await {
+                        to.do_send(Happened(Event::Answer(Box::new(report))));
+                    }
+                });
+            }
+            Action::Beat(beat) => {
+                let body = write(&beat);
+                for other in &self.settings.others {
+                    let (client, to, body) = (self.client.clone(), to.clone(), body.clone());
+                    let url = format!("http://{}{}", other.address, controllers_wire::path::BEAT);
+                    actix::spawn(async move {
+                        let sent = client.post(url).timeout(Duration::from_millis(PEER_TIMEOUT_MS));
+                        if let Ok((200, bytes)) = send(sent, Some(body)).await
+                            && let Ok(theirs) = read::<Beat>(&bytes)
+                        {
+                            to.do_send(Happened(Event::Beat(theirs)));
+                        }
+                    });
+                }
+            }
+        }
+    }
+}
+
+impl Actor for Controller {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(1024);
+        ctx.run_interval(Duration::from_millis(TICK_MS), |me, ctx| me.happen(Event::Tick, ctx));
+    }
+}
+
+impl Handler<Incoming> for Controller {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, msg: Incoming, ctx: &mut Self::Context) -> Self::Result {
+        let id = self.next;
+        self.next += 1;
+        let (answer, waits) = oneshot::channel();
+        self.requests.insert(id, answer);
+        let event = match msg.0 {
+            Asked::User(ask) => Event::User(id, ask),
+            Asked::Report(report) => Event::Report(id, report),
+        };
+        self.happen(event, ctx);
+        Box::pin(async move { waits.await.unwrap_or_else(|_| Reply::later("this node is ending")) })
+    }
+}
+
+impl Handler<BeatIn> for Controller {
+    type Result = MessageResult<BeatIn>;
+
+    fn handle(&mut self, msg: BeatIn, ctx: &mut Self::Context) -> Self::Result {
+        self.happen(Event::Beat(msg.0), ctx);
+        MessageResult(self.node.beat())
+    }
+}
+
+impl Handler<Happened> for Controller {
+    type Result = ();
+
+    fn handle(&mut self, msg: Happened, ctx: &mut Self::Context) {
+        self.happen(msg.0, ctx);
+    }
+}
+
+fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Sends a request. An error is a request without an answer.
+async fn send(request: awc::ClientRequest, body: Option<Vec<u8>>) -> Result<(u16, Vec<u8>), ()> {
+    let request = request.insert_header(("Content-Type", "application/msgpack"));
+    let sent = match body {
+        Some(body) => request.send_body(body).await,
+        None => request.send().await,
+    };
+    let mut response = sent.map_err(|e| tracing::debug!(cause = %e, "a call had no answer"))?;
+    let status = response.status().as_u16();
+    // A follow's response has no size limit of its own.
+    let bytes = response.body().limit(16 << 20).await;
+    bytes.map(|b| (status, b.to_vec())).map_err(|_| ())
+}
+
+async fn call_store(client: &Client, at: SocketAddr, call: &store::Call) -> store::Outcome {
+    use state_wire::path;
+    use store::{Call, Outcome};
+    let url = |rest: String| format!("http://{at}{rest}");
+    let sent = match call {
+        Call::Get(key) => send(client.get(url(format!("{}/{key}", path::KV))), None).await,
+        Call::List { prefix, from } => {
+            let from = from.as_ref().map(|f| format!("&from={f}")).unwrap_or_default();
+            let rest = format!("{}?starts={prefix}{from}&most={LIST_PAGE}", path::KV);
+            send(client.get(url(rest)), None).await
+        }
+        Call::Commit(commit) => {
+            send(client.post(url(path::COMMIT.into())), Some(write(commit))).await
+        }
+        Call::Grant { ttl_ms } => {
+            let body = write(&state_wire::Ask { ttl_ms: *ttl_ms });
+            send(client.post(url(path::GRANTS.into())), Some(body)).await
+        }
+        Call::Extend(id) => {
+            let rest = format!("{}/{id}/{}", path::GRANTS, path::EXTEND);
+            let body = write(&HashMap::<String, u64>::new());
+            send(client.post(url(rest)), Some(body)).await
+        }
+        Call::Follow { prefix, from } => {
+            let rest =
+                format!("{}?starts={prefix}&from={from}&block_ms={FOLLOW_BLOCK_MS}", path::FOLLOW);
+            send(client.get(url(rest)), None).await
+        }
+    };
+    let Ok((status, bytes)) = sent else { return Outcome::Unknown };
+    fn read_as<T: serde::de::DeserializeOwned>(b: &[u8], f: impl Fn(T) -> Outcome) -> Outcome {
+        read::<T>(b).map(f).unwrap_or(Outcome::Unknown)
+    }
+    match (status, call) {
+        (200, Call::Get(_)) => read_as(&bytes, Outcome::Found),
+        (200, Call::List { .. }) => read_as(&bytes, Outcome::Page),
+        (200, Call::Commit(_)) => {
+            read_as(&bytes, |c: state_wire::Committed| Outcome::Committed(c.epoch))
+        }
+        (200, Call::Grant { .. }) => {
+            read_as(&bytes, |g: state_wire::Granted| Outcome::Granted(g.mooring))
+        }
+        (200, Call::Extend(id)) => Outcome::Granted(*id),
+        (200, Call::Follow { .. }) => read_as(&bytes, Outcome::News),
+        (404, Call::Extend(_)) => Outcome::NoGrant,
+        (404, _) => Outcome::Missing { epoch: 0 },
+        (409, _) => read_as(&bytes, |c: state_wire::Committed| Outcome::Conflict(c.failed)),
+        (410, _) => Outcome::TooOld,
+        (429, _) => Outcome::Limited,
+        (503, _) => Outcome::Refused,
+        (400, Call::Commit(c)) if c.apply.iter().any(moored) => Outcome::NoGrant,
+        (400, _) => {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            tracing::error!(cause = %text, "the state service calls a request malformed");
+            Outcome::Malformed(text)
+        }
+        _ => Outcome::Unknown,
+    }
+}
+
+fn moored(change: &state_wire::Change) -> bool {
+    matches!(change, state_wire::Change::Write { mooring: Some(_), .. })
+}
+
+async fn call_cloud(client: &Client, at: SocketAddr, call: &cloud::Call) -> cloud::Outcome {
+    use cloud::{Call, Outcome};
+    use cloud_wire::path;
+    let timeout = Duration::from_millis(CLOUD_TIMEOUT_MS);
+    let url = |rest: String| format!("http://{at}{rest}");
+    let get = |rest: String| client.get(url(rest)).timeout(timeout);
+    let post = |rest: &str| client.post(url(rest.into())).timeout(timeout);
+    let sent = match call {
+        Call::Types => send(get(path::TYPES.into()), None).await,
+        Call::Rent(rent) => send(post(path::MACHINES), Some(write(rent))).await,
+        Call::Return(names) => {
+            let body = write(&cloud_wire::Berths { berths: names.clone() });
+            send(post(path::RETURN), Some(body)).await
+        }
+        Call::List(from) => {
+            let from = from.as_ref().map(|f| format!("from={f}&")).unwrap_or_default();
+            send(get(format!("{}?{from}most={CLOUD_PAGE}", path::MACHINES)), None).await
+        }
+    };
+    let Ok((status, bytes)) = sent else { return Outcome::Failed };
+    let failed = |_| Outcome::Failed;
+    match (status, call) {
+        (200, Call::Types) => read(&bytes).map_or_else(failed, Outcome::Types),
+        (200, Call::Rent(_)) => read(&bytes).map_or_else(failed, Outcome::Rented),
+        (200, Call::Return(_)) => Outcome::Returned,
+        (200, Call::List(_)) => read(&bytes).map_or_else(failed, Outcome::Listed),
+        (503, Call::Rent(_)) if says_no_capacity(&bytes) => Outcome::NoCapacity,
+        (400, _) => {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            tracing::error!(cause = %text, "the cloud calls a request malformed");
+            Outcome::Malformed(text)
+        }
+        _ => Outcome::Failed,
+    }
+}
+
+fn says_no_capacity(bytes: &[u8]) -> bool {
+    let body = read::<HashMap<String, String>>(bytes).unwrap_or_default();
+    body.get("error").is_some_and(|e| e == cloud_wire::NO_CAPACITY)
+}
+
+async fn call_worker(client: &Client, addr: &str, message: &Direct) -> Option<Report> {
+    let url = format!("http://{addr}{}", workers_wire::path::COMMANDS);
+    let sent = client.post(url).timeout(Duration::from_millis(WORKER_TIMEOUT_MS));
+    let (status, bytes) = send(sent, Some(write(message))).await.ok()?;
+    // 409 carries a report too: it may show a newer token or session.
+    if status == 200 || status == 409 { read(&bytes).ok() } else { None }
+}
--- /dev/null
+++ b/src/cluster/leader.rs
@@ -0,0 +1,804 @@
+//! The leader's tables and what changes them: jobs, machines, reports, commands.
+
+use super::{Ctx, Purpose};
+use crate::chance::History;
+use crate::constants::*;
+use crate::fleet::Fleet;
+use crate::job::*;
+use crate::machine::{Machine, Room, Standing};
+use crate::placement::Lines;
+use crate::store::{Call, Finished, Outcome, Patience, Urgency};
+use crate::wire::cloud::Listing;
+use crate::wire::state::{Change, Commit, Item, Page, When};
+use crate::wire::workers::{Cause, Command, Direct, Orders, Phase, Report, Shard, Verb};
+use std::collections::{BTreeMap, HashMap};
+
+/// Where a report came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A report proper: its response may carry starts, and it proves what it lacks.
+    Report,
+    /// The answer to a direct command.
+    Answer,
+}
+
+/// Everything the leader holds under one term.
+pub struct Leader {
+    /// Its token.
+    pub token: u64,
+    /// Era of the term, to know stale answers.
+    pub era: u64,
+    /// When it began to lead.
+    pub since: Time,
+    /// Jobs that are not over.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Machines known.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Run times per job.
+    pub history: HashMap<JobId, History>,
+    /// Lines of waiting work.
+    pub lines: Lines,
+    /// Rentals and returns.
+    pub fleet: Fleet,
+    /// Misses since the last round.
+    pub misses: u32,
+    /// When the last pass and the last round were.
+    pub passed_at: Time,
+    /// See `passed_at`.
+    pub round_at: Time,
+    /// Something changed that a pass may use.
+    pub stir: bool,
+    launches: u64,
+    nonce: u64,
+    /// Revision up to which changes of jobs are known.
+    pub follow_from: u64,
+}
+
+/// The job and task in a wire name.
+pub fn split_task(name: &str) -> Option<(JobId, u32)> {
+    let (job, task) = name.rsplit_once('/')?;
+    Some((JobId::from(job), task.parse().ok()?))
+}
+
+fn join_task(job: &JobId, task: u32) -> String {
+    format!("{job}/{task}")
+}
+
+fn stage_of(shard: &Shard) -> Stage {
+    match shard.status {
+        Phase::Fetching => Stage::Fetching,
+        Phase::Waiting => Stage::Waiting,
+        Phase::Running | Phase::Unknown => Stage::Running,
+        Phase::Saving => Stage::Saving,
+        Phase::Exited => Stage::Exited(shard.cause.unwrap_or(Cause::Other)),
+    }
+}
+
+impl Leader {
+    /// An empty table under a token.
+    pub fn new(token: u64, era: u64, now: Time) -> Leader {
+        Leader {
+            token,
+            era,
+            since: now,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            history: HashMap::new(),
+            lines: Lines::default(),
+            fleet: Fleet::default(),
+            misses: 0,
+            passed_at: 0,
+            round_at: now,
+            stir: true,
+            launches: 0,
+            nonce: 0,
+            follow_from: 0,
+        }
+    }
+
+    /// A launch number that no term has used or will use.
+    pub fn next_launch(&mut self) -> u64 {
+        self.launches += 1;
+        (self.token << LAUNCH_BITS) + self.launches
+    }
+
+    // ---- loading -------------------------------------------------------------------------------
+
+    /// Takes over a page of jobs.
+    pub fn load_jobs(&mut self, page: &Page, now: Time, wall: u64) {
+        if self.follow_from == 0 {
+            self.follow_from = page.epoch;
+        }
+        for pair in &page.pairs {
+            self.upsert(&pair.key, &pair.value, pair.stamp, now, wall);
+        }
+    }
+
+    /// Takes over a page of bindings. Keys of jobs that are over are left-overs to remove.
+    pub fn load_bindings(&mut self, page: &Page, now: Time) {
+        for pair in &page.pairs {
+            let rest = pair.key.strip_prefix(keys::BINDINGS);
+            let Some((id, chunk)) = rest.and_then(split_task) else { continue };
+            let Ok(record) = serde_json::from_value::<Chunk>(pair.value.clone()) else {
+                tracing::error!(key = %pair.key, "a record of bindings cannot be read");
+                continue;
+            };
+            self.nonce = self.nonce.max(record.nonce);
+            match self.jobs.get_mut(&id) {
+                Some(job) => job.restore(chunk, &record, pair.stamp, now),
+                None => self.fleet.left_over.push(pair.key.clone()),
+            }
+        }
+    }
+
+    /// After loading: machines that bindings name are expected.
+    pub fn index(&mut self, now: Time) {
+        for (id, job) in &self.jobs {
+            for (task, attempt) in &job.attempts {
+                let machine = self
+                    .machines
+                    .entry(attempt.machine.clone())
+                    .or_insert_with(|| Machine::new(attempt.machine.clone(), now));
+                machine.tasks.insert((id.clone(), *task), attempt.launch);
+            }
+        }
+    }
+
+    fn upsert(&mut self, key: &str, value: &serde_json::Value, stamp: u64, now: Time, wall: u64) {
+        let Some(id) = key.strip_prefix(keys::JOBS) else { return };
+        let Ok(record) = serde_json::from_value::<JobRecord>(value.clone()) else {
+            tracing::error!(key, "a job's record cannot be read");
+            return;
+        };
+        let id = JobId::from(id);
+        let job = self.jobs.entry(id.clone()).or_insert_with(|| {
+            tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
+            Job::new(id.clone(), &record, stamp, now, wall)
+        });
+        if stamp >= job.stamp {
+            job.stamp = stamp;
+            if record.cancelled && !job.cancelled() {
+                let passed = wall.saturating_sub(record.cancelled_wall);
+                job.advance(JobState::Cancelling, now.saturating_sub(passed));
+            }
+            self.stir = true;
+        }
+    }
+
+    /// A change of a job seen by the watch.
+    pub fn on_news(&mut self, item: &Item, now: Time, wall: u64) {
+        if let Some(key) = &item.write {
+            self.upsert(key, &item.value, item.stamp, now, wall);
+        }
+    }
+
+    // ---- reports -------------------------------------------------------------------------------
+
+    /// Takes a worker's message and says what it is to do. Older messages change nothing.
+    pub fn on_report(&mut self, report: &Report, source: Source, ctx: &mut Ctx) -> Orders {
+        let now = ctx.now;
+        let id = MachineId::from(report.berth.as_str());
+        let machine = self.machines.entry(id.clone()).or_insert_with(|| {
+            tracing::info!(machine = %id, "machine unknown so far reports");
+            Machine::new(id.clone(), now)
+        });
+        let mut orders = Orders { helm: self.token, orders: Vec::new() };
+        let at = (report.watch, report.tick);
+        if at <= machine.latest {
+            return orders;
+        }
+        let first = machine.heard.is_none();
+        machine.latest = at;
+        machine.heard = Some(now);
+        machine.greet(report, now);
+        if source == Source::Report {
+            machine.reported = at;
+        }
+        if report.helm == self.token {
+            if matches!(machine.standing(), Standing::Expected | Standing::Greeted) {
+                machine.advance(Standing::Ready);
+                machine.idle_since = now;
+                self.stir = true;
+                tracing::debug!(machine = %id, kind = %report.hull, zone = %report.dock, "machine ready");
+            }
+        } else if machine.standing() == Standing::Expected {
+            machine.advance(Standing::Greeted);
+        }
+        if first {
+            self.fleet.arrived(&id);
+        }
+        let mut listed: HashMap<(JobId, u32, u64), &Shard> = HashMap::new();
+        for shard in &report.shards {
+            if let Some((job, task)) = split_task(&shard.shard) {
+                listed.insert((job, task, shard.launch), shard);
+            }
+        }
+        self.reconcile(&id, report, source, &listed, ctx);
+        self.take_strays(&id, report, &listed, ctx);
+        self.give_orders(&id, report, source, &listed, &mut orders.orders);
+        orders
+    }
+
+    /// Compares what a machine holds with the attempts bound to it.
+    fn reconcile(
+        &mut self,
+        id: &MachineId,
+        report: &Report,
+        source: Source,
+        listed: &HashMap<(JobId, u32, u64), &Shard>,
+        ctx: &mut Ctx,
+    ) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let bound: Vec<((JobId, u32), u64)> =
+            machine.tasks.iter().map(|(k, v)| (k.clone(), *v)).collect();
+        let at = (report.watch, report.tick);
+        for ((job_id, task), launch) in bound {
+            let shown = listed.get(&(job_id.clone(), task, launch));
+            let Some(job) = self.jobs.get_mut(&job_id) else { continue };
+            let Some(attempt) = job.attempts.get_mut(&task).filter(|a| a.launch == launch) else {
+                continue;
+            };
+            if let Some(shard) = shown {
+                attempt.seen = true;
+                let stage = stage_of(shard);
+                let image = (job.spec.image.clone(), job.spec.image_gb);
+                if attempt.advance(stage, ctx.now) {
+                    if matches!(stage, Stage::Running | Stage::Waiting)
+                        && let Some(m) = self.machines.get_mut(id)
+                    {
+                        let cache = ctx.type_of(&m.kind).map_or(0.0, |t| t.cache_gb);
+                        m.note_image(&image.0, image.1, cache);
+                    }
+                    if let Stage::Exited(cause) = stage {
+                        self.on_exit(&job_id, task, cause, ctx);
+                    }
+                }
+                continue;
+            }
+            if matches!(attempt.stage(), Stage::Exited(_)) {
+                continue;
+            }
+            // Proof that it is gone, and nothing else, lets the task move.
+            let committed = attempt.stage() != Stage::Committing;
+            let gone = if report.watch > attempt.watch {
+                committed
+            } else if attempt.seen {
+                true
+            } else if attempt.old_term {
+                report.helm == self.token
+            } else if let Some(offered) = attempt.offered {
+                // The response that carried the start may still be on its way when a direct
+                // command is answered: only a later report shows that it was not taken.
+                let untaken = source == Source::Report && at > offered;
+                if untaken && !attempt.given_up {
+                    attempt.offered = None;
+                }
+                untaken && attempt.given_up
+            } else {
+                attempt.given_up && committed
+            };
+            if gone {
+                tracing::debug!(job = %job_id, task, launch, machine = %id, "attempt proved gone");
+                self.release(&job_id, task, ctx.now);
+                self.after_loss(&job_id, ctx.now);
+            }
+        }
+    }
+
+    /// What a machine shows that no table knows: an exit is forgotten, a task of a job that still
+    /// wants it is taken over, anything else is stopped and counted until it is gone.
+    fn take_strays(
+        &mut self,
+        id: &MachineId,
+        report: &Report,
+        listed: &HashMap<(JobId, u32, u64), &Shard>,
+        ctx: &mut Ctx,
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.strays.retain(|key, _| listed.contains_key(key));
+        for ((job_id, task, launch), shard) in listed {
+            let key = (job_id.clone(), *task);
+            if machine.tasks.get(&key) == Some(launch) || shard.status == Phase::Exited {
+                machine.strays.remove(&(job_id.clone(), *task, *launch));
+                continue;
+            }
+            let job = self.jobs.get_mut(job_id);
+            let room = job.as_ref().map(|j| Room::of(&j.spec));
+            if let Some(job) = job
+                && (job.waiting.remove(task) || job.held.remove(task).is_some())
+            {
+                tracing::warn!(job = %job_id, task, launch, machine = %id, "unrecorded task taken over");
+                let bound = Bound {
+                    task: *task,
+                    launch: *launch,
+                    machine: id.clone(),
+                    watch: report.watch,
+                };
+                let mut attempt = Attempt::found(&bound, ctx.now);
+                attempt.seen = true;
+                attempt.given_up = true;
+                attempt.advance(stage_of(shard), ctx.now);
+                job.attempts.insert(*task, attempt);
+                job.touch(*task, ctx.now, true);
+                machine.tasks.insert(key, *launch);
+                continue;
+            }
+            machine.strays.insert((job_id.clone(), *task, *launch), room);
+        }
+    }
+
+    /// The commands of a response: stops, then reaps, then starts.
+    fn give_orders(
+        &mut self,
+        id: &MachineId,
+        report: &Report,
+        source: Source,
+        listed: &HashMap<(JobId, u32, u64), &Shard>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        for (job, task, launch) in machine.strays.keys() {
+            out.push(command(Verb::Stop, job, *task, *launch, Some(0.0)));
+        }
+        for ((job, task, launch), shard) in listed {
+            let known = machine.tasks.get(&(job.clone(), *task)) == Some(launch);
+            if shard.status == Phase::Exited && !known {
+                out.push(command(Verb::Forget, job, *task, *launch, None));
+            }
+        }
+        let ready = machine.standing() == Standing::Ready && report.helm == self.token;
+        if source != Source::Report || !ready {
+            return;
+        }
+        for ((job_id, task), launch) in &machine.tasks {
+            let Some(job) = self.jobs.get_mut(job_id) else { continue };
+            if job.cancelled() || job.regroup {
+                continue;
+            }
+            let Some(attempt) = job.attempts.get_mut(task).filter(|a| a.launch == *launch) else {
+                continue;
+            };
+            // A start found in the store under an older term is not offered again: its launch
+            // may have been taken and forgotten. The next report proves it gone.
+            if attempt.stage() == Stage::Bound
+                && !attempt.given_up
+                && !attempt.seen
+                && !attempt.old_term
+                && attempt.watch == report.watch
+            {
+                attempt.offered = Some((report.watch, report.tick));
+                out.push(command(Verb::Start, job_id, *task, *launch, None));
+            }
+        }
+    }
+
+    /// An attempt has exited.
+    fn on_exit(&mut self, id: &JobId, task: u32, cause: Cause, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(attempt) = job.attempts.get(&task) else { return };
+        let machine_id = attempt.machine.clone();
+        let ran = attempt.ran_at.map(|at| now.saturating_sub(at));
+        self.stir = true;
+        if cause == Cause::Done {
+            job.touch(task, now, true);
+            if let Some(machine) = self.machines.get_mut(&machine_id) {
+                machine.errors.clear();
+                if let Some(ran) = ran {
+                    self.history.entry(id.clone()).or_default().record(&machine.kind, ran);
+                }
+            }
+            self.flush(&id.clone(), ctx);
+            return;
+        }
+        tracing::debug!(job = %id, task, machine = %machine_id, ?cause, "attempt exited");
+        let failed = matches!(
+            cause,
+            Cause::Error | Cause::NoSuch | Cause::Other | Cause::NoRoom | Cause::InUse
+        );
+        if matches!(cause, Cause::Error | Cause::Other) {
+            job.blame(&machine_id);
+            let faulty_job = job.bad_machines.len() >= FAULTY_JOB_MACHINES;
+            if let Some(machine) = self.machines.get_mut(&machine_id)
+                && !faulty_job
+            {
+                machine.errors.insert(id.clone());
+                if machine.errors.len() >= SUSPECT_JOBS && !machine.suspect {
+                    machine.suspect = true;
+                    tracing::warn!(machine = %machine_id, "machine suspected: tasks of several jobs fail on it");
+                }
+            }
+        }
+        self.release(id, task, now);
+        if failed && let Some(job) = self.jobs.get_mut(id) {
+            job.hold(task, now);
+        }
+        self.after_loss(id, now);
+    }
+
+    /// The task of an attempt proved gone waits again.
+    pub fn release(&mut self, id: &JobId, task: u32, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if let Some(attempt) = job.release(task, now)
+            && let Some(machine) = self.machines.get_mut(&attempt.machine)
+        {
+            machine.tasks.remove(&(id.clone(), task));
+            if machine.tasks.is_empty() {
+                machine.idle_since = now;
+            }
+        }
+        self.stir = true;
+    }
+
+    /// A gang that lost a task is stopped whole, and starts anew when none of it is left.
+    fn after_loss(&mut self, id: &JobId, _now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.spec.kind == Kind::Gang {
+            job.regroup = job.attempts.values().any(Attempt::occupies);
+        }
+    }
+
+    /// A machine is gone, proved by a 200 to its return: all on it is gone.
+    pub fn machine_gone(&mut self, id: &MachineId, now: Time) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let tasks: Vec<(JobId, u32)> = machine.tasks.keys().cloned().collect();
+        for (job, task) in tasks {
+            let done = self.jobs.get(&job).and_then(|j| j.attempts.get(&task));
+            if done.is_some_and(|a| a.stage() == Stage::Exited(Cause::Done)) {
+                continue;
+            }
+            self.release(&job, task, now);
+            self.after_loss(&job, now);
+        }
+        self.lines.drop_machine(id, &mut self.jobs);
+        self.machines.remove(id);
+        self.stir = true;
+        tracing::info!(machine = %id, "machine gone");
+    }
+
+    // ---- commands ------------------------------------------------------------------------------
+
+    /// Stops what must stop, straight to the workers. Called with every timer step.
+    pub fn stops(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let mut orders: BTreeMap<MachineId, Vec<Command>> = BTreeMap::new();
+        let mut unstarted = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if !job.cancelled() && !job.regroup {
+                let draining = job.attempts.values().any(|a| a.stop.is_some());
+                if !draining {
+                    continue;
+                }
+            }
+            let whole = job.cancelled() || job.regroup;
+            let ease = if job.cancelled() || job.spec.checkpoint_s <= 0.0 {
+                0.0
+            } else {
+                job.spec.save_s + EASE_EXTRA_S
+            };
+            for (task, attempt) in &mut job.attempts {
+                if !attempt.occupies() || !(whole || attempt.stop.is_some()) {
+                    continue;
+                }
+                attempt.given_up = true;
+                match attempt.stage() {
+                    Stage::Committing => continue,
+                    Stage::Bound if !attempt.old_term && attempt.offered.is_none() => {
+                        unstarted.push((id.clone(), *task));
+                        continue;
+                    }
+                    _ => {}
+                }
+                let (first, last) = attempt.stop.unwrap_or((now, 0));
+                // A second stop without grace would end a task that saves.
+                let saving = attempt.stage() == Stage::Saving && job.cancelled_at.is_none();
+                if now < last + STOP_AGAIN_MS || (saving && last > 0) {
+                    continue;
+                }
+                attempt.stop = Some((first, now));
+                let order = command(Verb::Stop, id, *task, attempt.launch, Some(ease));
+                orders.entry(attempt.machine.clone()).or_default().push(order);
+            }
+        }
+        for (job, task) in unstarted {
+            self.release(&job, task, now);
+            self.after_loss(&job, now);
+        }
+        for (id, orders) in orders {
+            let Some(machine) = self.machines.get(&id) else { continue };
+            if machine.addr.is_empty() || machine.latest.0 == 0 {
+                continue;
+            }
+            let message = Direct { helm: self.token, watch: machine.latest.0, orders };
+            ctx.direct.push((machine.addr.clone(), message));
+        }
+    }
+
+    // ---- the store -----------------------------------------------------------------------------
+
+    /// Writes what must be written of every job.
+    pub fn flush_all(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let due: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.flight.is_none() && wants_flush(j, now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            self.flush(&id, ctx);
+        }
+    }
+
+    /// Writes what must be written of one job, in one transaction at a time.
+    pub fn flush(&mut self, id: &JobId, ctx: &mut Ctx) {
+        let now = ctx.now;
+        self.nonce += 1;
+        let nonce = self.nonce;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.flight.is_some() || job.state() == JobState::Closed {
+            return;
+        }
+        let mut commit = Commit {
+            when: vec![
+                When { key: keys::LEADER.into(), stamp: self.token },
+                When { key: keys::job(id), stamp: job.stamp },
+            ],
+            apply: Vec::new(),
+        };
+        let mut flight =
+            Flight { nonce, chunks: vec![], bound: vec![], done: vec![], closes: false };
+        let ops = ctx.settings.settings.state.txn_ops;
+        let ending = closing(job);
+        let urgency;
+        if let Some(ending) =
+            ending.filter(|_| job.chunk_stamps.len() + 2 <= ops || job.dirty.is_empty())
+        {
+            flight.closes = true;
+            urgency = Urgency::Work;
+            let record = FinalRecord { ending, done: done_count(job) };
+            commit.apply.push(Change::Remove { remove: keys::job(id) });
+            commit.apply.push(put(keys::end(id), &record));
+            for (n, chunk) in job.chunk_stamps.keys().enumerate() {
+                let key = chunk_key(id, *chunk);
+                if n + 2 < ops {
+                    commit.apply.push(Change::Remove { remove: key });
+                } else {
+                    self.fleet.left_over.push(key);
+                }
+            }
+            job.advance(JobState::Closing, now);
+        } else {
+            let mut bytes = 512;
+            let mut chunks: Vec<(u32, bool)> = job.dirty.iter().map(|(c, d)| (*c, d.1)).collect();
+            chunks.sort_by_key(|(_, urgent)| !urgent);
+            urgency = match chunks.first() {
+                Some((_, true)) => Urgency::Work,
+                Some((_, false)) => Urgency::Tidy,
+                None => return,
+            };
+            // A gang is bound whole or not at all, so its chunks never part.
+            for (chunk, _) in chunks.into_iter().take(ops) {
+                let record = job.chunk(chunk, nonce);
+                bytes += 64 + record.bound.len() * BINDING_BYTES + record.done.len() * 14;
+                if bytes > TXN_BYTES && !flight.chunks.is_empty() {
+                    break;
+                }
+                let key = chunk_key(id, chunk);
+                let stamp = job.chunk_stamps.get(&chunk).copied().unwrap_or(0);
+                commit.when.push(When { key: key.clone(), stamp });
+                commit.apply.push(put(key, &record));
+                flight.chunks.push(chunk);
+                job.dirty.remove(&chunk);
+                let from = chunk * job.chunk_tasks;
+                for (task, a) in job.attempts.range(from..from + job.chunk_tasks) {
+                    match a.stage() {
+                        Stage::Committing => flight.bound.push((*task, a.launch)),
+                        Stage::Exited(Cause::Done) => flight.done.push(*task),
+                        _ => {}
+                    }
+                }
+            }
+        }
+        job.flight = Some(flight);
+        let purpose = Purpose::Flush { era: self.era, job: id.clone() };
+        ctx.store.push(Call::Commit(commit), purpose, urgency, Patience::Always);
+    }
+
+    /// A job's transaction has ended. Returns true if the term is lost.
+    pub fn on_flushed(&mut self, id: &JobId, end: &Finished<Purpose>, ctx: &mut Ctx) -> bool {
+        match &end.outcome {
+            Outcome::Committed(epoch) => self.settle(id, Some(*epoch), ctx),
+            Outcome::Conflict(failed) => {
+                if failed.iter().any(|k| k == keys::LEADER) {
+                    return true;
+                }
+                // Another's change, or an earlier try of ours that was applied: read to know.
+                self.resolve(id, ctx);
+            }
+            other => {
+                tracing::error!(job = %id, outcome = ?other, "a transaction was not taken");
+                self.settle(id, None, ctx);
+            }
+        }
+        false
+    }
+
+    fn resolve(&mut self, id: &JobId, ctx: &mut Ctx) {
+        let purpose = Purpose::ResolveJob { era: self.era, job: id.clone() };
+        ctx.store.push(Call::Get(keys::job(id)), purpose, Urgency::Work, Patience::Always);
+    }
+
+    /// The job's record after a conflict.
+    pub fn on_resolve_job(&mut self, id: &JobId, outcome: &Outcome, ctx: &mut Ctx) {
+        let (now, wall) = (ctx.now, ctx.wall);
+        match outcome {
+            Outcome::Found(pair) => self.upsert(&keys::job(id), &pair.value, pair.stamp, now, wall),
+            Outcome::Missing { .. } => {
+                // Only the leader removes it, with the final record: our own try was applied.
+                self.settle(id, Some(0), ctx);
+                return;
+            }
+            _ => {}
+        }
+        let flight = self.jobs.get(id).and_then(|j| j.flight.clone());
+        match flight {
+            Some(f) if !f.chunks.is_empty() => {
+                let chunk = f.chunks[0];
+                self.read_chunk(id, chunk, 0, ctx);
+            }
+            _ => self.settle(id, None, ctx),
+        }
+    }
+
+    fn read_chunk(&mut self, id: &JobId, chunk: u32, index: usize, ctx: &mut Ctx) {
+        let purpose = Purpose::ResolveChunk { era: self.era, job: id.clone(), index };
+        let key = chunk_key(id, chunk);
+        ctx.store.push(Call::Get(key), purpose, Urgency::Work, Patience::Always);
+    }
+
+    /// A chunk's record after a conflict.
+    pub fn on_resolve_chunk(&mut self, id: &JobId, index: usize, outcome: &Outcome, ctx: &mut Ctx) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(flight) = job.flight.clone() else { return };
+        let Some(&chunk) = flight.chunks.get(index) else { return };
+        match outcome {
+            Outcome::Found(pair) => {
+                let record: Chunk = serde_json::from_value(pair.value.clone()).unwrap_or_default();
+                if record.nonce == flight.nonce {
+                    self.settle(id, Some(pair.stamp), ctx);
+                    return;
+                }
+                job.chunk_stamps.insert(chunk, pair.stamp);
+            }
+            _ => {
+                job.chunk_stamps.remove(&chunk);
+            }
+        }
+        match flight.chunks.get(index + 1) {
+            Some(&next) => self.read_chunk(id, next, index + 1, ctx),
+            None => self.settle(id, None, ctx),
+        }
+    }
+
+    /// The outcome of a job's transaction is known: committed at a revision, or never to be.
+    fn settle(&mut self, id: &JobId, committed: Option<u64>, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(flight) = job.flight.take() else { return };
+        let Some(epoch) = committed else {
+            for chunk in &flight.chunks {
+                job.dirty.entry(*chunk).or_insert((now, true));
+            }
+            if flight.closes && job.cancelled() {
+                job.advance(JobState::Cancelling, now);
+            }
+            // Never committed, never offered: the tasks wait again.
+            for (task, launch) in flight.bound {
+                let held = self.jobs.get(id).and_then(|j| j.attempts.get(&task));
+                if held.is_some_and(|a| a.launch == launch && a.stage() == Stage::Committing) {
+                    self.release(id, task, now);
+                }
+            }
+            return;
+        };
+        if flight.closes {
+            job.advance(JobState::Closed, now);
+            self.close(id, ctx);
+            return;
+        }
+        for chunk in &flight.chunks {
+            job.chunk_stamps.insert(*chunk, epoch);
+        }
+        for (task, launch) in flight.bound {
+            if let Some(a) = job.attempts.get_mut(&task).filter(|a| a.launch == launch)
+                && a.stage() == Stage::Committing
+            {
+                a.advance(Stage::Bound, now);
+            }
+        }
+        for task in flight.done {
+            if let Some(attempt) = job.attempts.remove(&task) {
+                job.done.insert(task);
+                job.failures.remove(&task);
+                if let Some(machine) = self.machines.get_mut(&attempt.machine) {
+                    machine.tasks.remove(&(id.clone(), task));
+                    if machine.tasks.is_empty() {
+                        machine.idle_since = now;
+                    }
+                }
+            }
+        }
+        self.stir = true;
+        if wants_flush(&self.jobs[id], now) {
+            self.flush(id, ctx);
+        }
+    }
+
+    fn close(&mut self, id: &JobId, ctx: &mut Ctx) {
+        let Some(job) = self.jobs.remove(id) else { return };
+        for (task, attempt) in &job.attempts {
+            if let Some(machine) = self.machines.get_mut(&attempt.machine) {
+                machine.tasks.remove(&(id.clone(), *task));
+                if machine.tasks.is_empty() {
+                    machine.idle_since = ctx.now;
+                }
+            }
+        }
+        self.lines.drop_job(id);
+        self.history.remove(id);
+        tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
+    }
+
+    /// Takes over a page of the machine list.
+    pub fn on_listing(&mut self, page: &Listing, now: Time) {
+        for listed in &page.berths {
+            let id = MachineId::from(listed.name_id.as_str());
+            if self.fleet.was_returned(&id) {
+                continue;
+            }
+            let machine =
+                self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id.clone(), now));
+            machine.describe(listed, now);
+            if listed.status == crate::wire::cloud::ListedState::Failed {
+                self.fleet.want_return(machine, "it failed");
+            }
+        }
+    }
+
+    /// Counts for display, for the other controllers.
+    pub fn counts(&self) -> Vec<(String, u32, u32)> {
+        let counts = self.jobs.iter().map(|(id, j)| (id.to_string(), j.counts()));
+        counts.filter(|(_, c)| c.0 + c.1 > 0).map(|(id, (d, r))| (id, d, r)).take(1000).collect()
+    }
+}
+
+fn wants_flush(job: &Job, now: Time) -> bool {
+    job.dirty.values().any(|(at, urgent)| *urgent || now >= at + TIDY_MS) || closing(job).is_some()
+}
+
+fn done_count(job: &Job) -> u32 {
+    let exited = job.attempts.values().filter(|a| a.stage() == Stage::Exited(Cause::Done)).count();
+    job.done.len() as u32 + exited as u32
+}
+
+/// Whether a job can be closed, and how. A cancelled job closes when nothing of it is left.
+fn closing(job: &Job) -> Option<Ending> {
+    if matches!(job.state(), JobState::Closed) {
+        return None;
+    }
+    if job.cancelled() {
+        return (!job.attempts.values().any(Attempt::occupies)).then_some(Ending::Cancelled);
+    }
+    (done_count(job) == job.spec.tasks).then_some(Ending::Done)
+}
+
+fn command(verb: Verb, job: &JobId, task: u32, launch: u64, ease_s: Option<f64>) -> Command {
+    Command { verb, shard: join_task(job, task), launch, ease_s }
+}
+
+/// A put of one of our own records, which always have a JSON form.
+pub fn put<T: serde::Serialize>(key: String, record: &T) -> Change {
+    let value = serde_json::to_value(record).unwrap_or_default();
+    Change::Write { write: key, value, mooring: None }
+}
--- /dev/null
+++ b/src/cluster/requests.rs
@@ -0,0 +1,329 @@
+//! Users' requests. Every answer about a job that is not over comes from a read of the store that
+//! began after the request came; identical reads are merged.
+
+use super::{Ask, Node, Purpose, Reply, RequestId};
+use crate::cluster::Action;
+use crate::constants::*;
+use crate::job::*;
+use crate::store::{Call, Finished, Outcome, Patience, Urgency};
+use crate::wire::state::{Change, Commit, When};
+use crate::wire::users::{JobAnswer, Problem, Status, read_submission, valid_id};
+use std::collections::HashMap;
+
+/// What to do once a job's record is known.
+#[derive(Debug)]
+enum Intent {
+    /// Tell its state.
+    Poll,
+    /// Tell its state if it is known, else give this answer.
+    Known(Reply),
+    /// Cancel it.
+    Cancel {
+        /// Conflicts so far.
+        tries: u32,
+    },
+}
+
+#[derive(Debug)]
+struct Waiter {
+    request: RequestId,
+    intent: Intent,
+}
+
+#[derive(Debug, Default)]
+struct Reading {
+    /// Whom the read under way serves.
+    current: Vec<Waiter>,
+    /// Who came later and needs a fresh one.
+    next: Vec<Waiter>,
+}
+
+/// Requests that wait for the store.
+#[derive(Debug, Default)]
+pub struct Requests {
+    reads: HashMap<JobId, Reading>,
+    cancels: HashMap<JobId, Vec<(RequestId, u32)>>,
+}
+
+/// Conflicts after which a cancellation is given back to its user.
+const CANCEL_TRIES: u32 = 5;
+
+fn answer(id: &str, status: Status, counts: Option<(u32, u32)>) -> JobAnswer {
+    JobAnswer {
+        name_id: id.to_string(),
+        status,
+        done: counts.map(|c| c.0),
+        running: counts.map(|c| c.1),
+    }
+}
+
+fn problem(status: u16, error: String) -> Reply {
+    Reply::new(status, &Problem { error })
+}
+
+impl Node {
+    fn reply(&mut self, request: RequestId, reply: Reply) {
+        self.actions.push(Action::Reply(request, reply));
+    }
+
+    pub(super) fn on_user(&mut self, request: RequestId, ask: Ask) {
+        match ask {
+            Ask::Health => {
+                let reply = if self.healthy() {
+                    Reply::new(200, &())
+                } else {
+                    Reply::later("this node is without the state service")
+                };
+                self.reply(request, reply);
+            }
+            Ask::Submit(body) => self.on_submit(request, &body),
+            Ask::Poll(id) => self.on_known(request, &id, Intent::Poll),
+            Ask::Cancel(id) => self.on_known(request, &id, Intent::Cancel { tries: 0 }),
+        }
+    }
+
+    fn on_known(&mut self, request: RequestId, id: &str, intent: Intent) {
+        if !valid_id(id) {
+            self.reply(request, unknown(id));
+            return;
+        }
+        let id = JobId::from(id);
+        if let Some(record) = self.finals.get(&id).copied() {
+            self.reply(request, final_reply(&id, &record));
+            return;
+        }
+        self.read_job(&id, Waiter { request, intent });
+    }
+
+    fn on_submit(&mut self, request: RequestId, body: &[u8]) {
+        let submission = match read_submission(body) {
+            Ok(it) => it,
+            Err(e) => return self.reply(request, problem(400, e.to_string())),
+        };
+        let id = submission.id;
+        if let Some(record) = self.finals.get(&id).copied() {
+            return self.reply(request, final_reply(&id, &record));
+        }
+        // A known job is answered from its record, whatever this body says.
+        let refusal = match &submission.spec {
+            Err(e) => Some(problem(400, e.to_string())),
+            Ok(spec) => self.judge(spec),
+        };
+        if let Some(reply) = refusal {
+            return self.read_job(&id, Waiter { request, intent: Intent::Known(reply) });
+        }
+        let Ok(spec) = submission.spec else { return };
+        if self.store.away() || !self.store.has_room() {
+            return self.reply(request, Reply::later("the state service does not answer"));
+        }
+        let record = JobRecord {
+            cancelled: false,
+            cancelled_wall: 0,
+            accepted_wall: self.now.wall,
+            chunk_tasks: self.chunk_tasks(),
+            nonce: 0,
+            spec,
+        };
+        let commit = Commit {
+            when: vec![
+                When { key: keys::job(&id), stamp: 0 },
+                When { key: keys::end(&id), stamp: 0 },
+            ],
+            apply: vec![super::leader::put(keys::job(&id), &record)],
+        };
+        let until = self.now.steady + USER_STORE_TIMEOUT_MS;
+        let purpose = Purpose::Create { request, job: id };
+        self.store.push(Call::Commit(commit), purpose, Urgency::Work, Patience::Once(until));
+    }
+
+    /// What speaks against a job, if anything.
+    fn judge(&self, spec: &Spec) -> Option<Reply> {
+        let Some(team) = self.settings.team(&spec.team) else {
+            let error = format!("team `{}` is unknown; name one of the settings", spec.team);
+            return Some(problem(422, error));
+        };
+        let Some(types) = &self.types else {
+            return Some(Reply::later("the machine types are not known yet"));
+        };
+        if !types.iter().any(|t| t.allows(spec)) {
+            let error = "a task fits no allowed machine type; ask for less or allow more types";
+            return Some(problem(422, error.into()));
+        }
+        let count = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
+        let over = |limit: f64, each: f64| limit > 0.0 && each * count > limit + 1e-6;
+        if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
+            let error = format!("the job needs more than the limit of team `{}`", spec.team);
+            return Some(problem(422, error));
+        }
+        None
+    }
+
+    fn read_job(&mut self, id: &JobId, waiter: Waiter) {
+        if self.store.away() || !self.store.has_room() {
+            let reply = Reply::later("the state service does not answer");
+            return self.reply(waiter.request, reply);
+        }
+        match self.requests.reads.get_mut(id) {
+            Some(reading) => reading.next.push(waiter),
+            None => {
+                let reading = Reading { current: vec![waiter], next: Vec::new() };
+                self.requests.reads.insert(id.clone(), reading);
+                self.start_read(id);
+            }
+        }
+    }
+
+    fn start_read(&mut self, id: &JobId) {
+        let until = self.now.steady + USER_STORE_TIMEOUT_MS;
+        let call = Call::Get(keys::job(id));
+        self.store.push(call, Purpose::ReadJob(id.clone()), Urgency::Work, Patience::Once(until));
+    }
+
+    pub(super) fn on_user_store(&mut self, end: Finished<Purpose>) {
+        match end.purpose {
+            Purpose::Create { request, job } => match end.outcome {
+                Outcome::Committed(_) => {
+                    tracing::info!(job = %job, "job accepted");
+                    let reply = Reply::new(201, &answer(&job, Status::Pending, None));
+                    self.reply(request, reply);
+                }
+                Outcome::Conflict(_) => {
+                    let otherwise = Reply::later("the job's record is being written");
+                    let intent = Intent::Known(otherwise);
+                    self.read_job(&job, Waiter { request, intent });
+                }
+                // It may be accepted or not: the user's retry finds out.
+                _ => self.reply(request, Reply::later("the state service did not confirm")),
+            },
+            Purpose::ReadJob(id) => match end.outcome {
+                Outcome::Found(pair) => match serde_json::from_value::<JobRecord>(pair.value) {
+                    Ok(record) => self.on_live(&id, record, pair.stamp),
+                    Err(_) => self.on_unread(&id),
+                },
+                // Not live: over, or never accepted. A job goes from the one key to the other in
+                // one transaction and never back, so this order of reads misses none.
+                Outcome::Missing { .. } => {
+                    let until = self.now.steady + USER_STORE_TIMEOUT_MS;
+                    let call = Call::Get(keys::end(&id));
+                    let purpose = Purpose::ReadFinal(id);
+                    self.store.push(call, purpose, Urgency::Work, Patience::Once(until));
+                }
+                _ => self.on_unread(&id),
+            },
+            Purpose::ReadFinal(id) => match end.outcome {
+                Outcome::Found(pair) => match serde_json::from_value::<FinalRecord>(pair.value) {
+                    Ok(record) => {
+                        self.remember_final(&id, record);
+                        for waiter in self.read_over(&id) {
+                            self.reply(waiter.request, final_reply(&id, &record));
+                        }
+                    }
+                    Err(_) => self.on_unread(&id),
+                },
+                Outcome::Missing { .. } => {
+                    for waiter in self.read_over(&id) {
+                        let reply = match waiter.intent {
+                            Intent::Known(otherwise) => otherwise,
+                            _ => unknown(&id),
+                        };
+                        self.reply(waiter.request, reply);
+                    }
+                }
+                _ => self.on_unread(&id),
+            },
+            Purpose::Cancel(id) => {
+                let waiting = self.requests.cancels.remove(&id).unwrap_or_default();
+                for (request, tries) in waiting {
+                    match end.outcome {
+                        Outcome::Committed(_) => {
+                            let reply = Reply::new(200, &answer(&id, Status::Cancelled, None));
+                            self.reply(request, reply);
+                        }
+                        Outcome::Conflict(_) if tries < CANCEL_TRIES => {
+                            let intent = Intent::Cancel { tries: tries + 1 };
+                            self.read_job(&id, Waiter { request, intent });
+                        }
+                        _ => self.reply(request, Reply::later("the state service did not confirm")),
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends a read: gives those it served, and begins the next for those who came later.
+    fn read_over(&mut self, id: &JobId) -> Vec<Waiter> {
+        let Some(reading) = self.requests.reads.get_mut(id) else { return Vec::new() };
+        let served = std::mem::take(&mut reading.current);
+        if reading.next.is_empty() {
+            self.requests.reads.remove(id);
+        } else {
+            reading.current = std::mem::take(&mut reading.next);
+            self.start_read(id);
+        }
+        served
+    }
+
+    fn on_unread(&mut self, id: &JobId) {
+        for waiter in self.read_over(id) {
+            self.reply(waiter.request, Reply::later("the state service does not answer"));
+        }
+    }
+
+    fn on_live(&mut self, id: &JobId, record: JobRecord, stamp: u64) {
+        let counts = self.counts_of(id);
+        let status = if record.cancelled {
+            Status::Cancelled
+        } else if counts.1 > 0 {
+            Status::Running
+        } else {
+            Status::Pending
+        };
+        let mut cancels = Vec::new();
+        for waiter in self.read_over(id) {
+            match waiter.intent {
+                Intent::Cancel { tries } if !record.cancelled => {
+                    cancels.push((waiter.request, tries));
+                }
+                _ => {
+                    let reply = Reply::new(200, &answer(id, status, Some(counts)));
+                    self.reply(waiter.request, reply);
+                }
+            }
+        }
+        if cancels.is_empty() {
+            return;
+        }
+        if let Some(waiting) = self.requests.cancels.get_mut(id) {
+            // The cancellation under way serves these too.
+            waiting.extend(cancels);
+            return;
+        }
+        self.requests.cancels.insert(id.clone(), cancels);
+        let cancelled = JobRecord { cancelled: true, cancelled_wall: self.now.wall, ..record };
+        let commit = Commit {
+            when: vec![When { key: keys::job(id), stamp }],
+            apply: vec![Change::Write {
+                write: keys::job(id),
+                value: serde_json::to_value(&cancelled).unwrap_or_default(),
+                mooring: None,
+            }],
+        };
+        let until = self.now.steady + USER_STORE_TIMEOUT_MS;
+        let purpose = Purpose::Cancel(id.clone());
+        self.store.push(Call::Commit(commit), purpose, Urgency::Work, Patience::Once(until));
+    }
+}
+
+fn unknown(id: &str) -> Reply {
+    let shown: String = id.chars().take(80).collect();
+    problem(404, format!("job `{shown}` is unknown; check its id"))
+}
+
+fn final_reply(id: &JobId, record: &FinalRecord) -> Reply {
+    let status = match record.ending {
+        Ending::Done => Status::Done,
+        Ending::Cancelled => Status::Cancelled,
+    };
+    Reply::new(200, &answer(id, status, Some((record.done, 0))))
+}
--- /dev/null
+++ b/src/constants.rs
@@ -0,0 +1,168 @@
+//! Every constant of the service, with its unit and the reason for its value.
+
+/// Milliseconds in a second.
+pub const MS_PER_S: f64 = 1000.0;
+
+// ---- term (leadership) -------------------------------------------------------------------------
+
+/// Time to live of the leader's grant, ms. Short, because a crashed leader is replaced only after
+/// it; long enough for two lost extensions and a few hundred ms of store latency.
+pub const GRANT_TTL_MS: u64 = 2_500;
+/// Time between extensions of the grant, ms: three tries within one time to live.
+pub const GRANT_EXTEND_MS: u64 = 700;
+/// Most random delay before a campaign, ms, so that nodes seldom collide.
+pub const CAMPAIGN_JITTER_MS: u64 = 150;
+/// Pause after a campaign that failed, ms.
+pub const CAMPAIGN_RETRY_MS: u64 = 500;
+/// Time between heartbeats to the other controllers, ms.
+pub const BEAT_MS: u64 = 500;
+/// A heartbeat older than this, ms, vouches for nothing.
+pub const BEAT_FRESH_MS: u64 = 1_800;
+/// Safety margin, ms, by which a fading leader stops answering reports before `cancel_s - lease_s`.
+pub const FADE_MARGIN_MS: u64 = 6_000;
+/// Least time, ms, that a leader without a store success keeps answering.
+pub const FADE_LEAST_MS: u64 = 2_000;
+
+// ---- calls -------------------------------------------------------------------------------------
+
+/// Timer step of a controller, ms. Work between steps is driven by events.
+pub const TICK_MS: u64 = 100;
+/// Timeout of one call to the state service, ms: a few hundred ms happen normally.
+pub const STORE_TIMEOUT_MS: u64 = 1_500;
+/// A user's call to the store is answered 503 after this, ms, below the 2 s users give a poll.
+pub const USER_STORE_TIMEOUT_MS: u64 = 1_200;
+/// Block time of a follow, ms. Long, since each follow opened counts as a request.
+pub const FOLLOW_BLOCK_MS: u64 = 10_000;
+/// Timeout of a follow, ms: its block time and some latency.
+pub const FOLLOW_TIMEOUT_MS: u64 = FOLLOW_BLOCK_MS + 2_500;
+/// First pause after the store refused or was silent, ms.
+pub const STORE_BACKOFF_MS: u64 = 200;
+/// Longest pause after the store refused or was silent, ms.
+pub const STORE_BACKOFF_MOST_MS: u64 = 1_500;
+/// Most calls waiting for the store's budget; further user calls are refused (memory).
+pub const STORE_QUEUE_MOST: usize = 600;
+/// Most calls to the store in flight at once (sockets, memory).
+pub const STORE_IN_FLIGHT_MOST: usize = 24;
+/// Share of the platform's state limits that all controllers together use: the rest absorbs
+/// bursts and clock differences.
+pub const STORE_SHARE_ALL: f64 = 0.9;
+/// Share of the above for the leader; the others divide the rest.
+pub const STORE_SHARE_LEADER: f64 = 0.6;
+/// Timeout of one call to the cloud, ms.
+pub const CLOUD_TIMEOUT_MS: u64 = 4_000;
+/// Share of the platform's cloud rate that the leader uses.
+pub const CLOUD_SHARE: f64 = 0.8;
+/// Pause after a cloud error, ms.
+pub const CLOUD_BACKOFF_MS: u64 = 1_500;
+/// Time between readings of the machine list, ms.
+pub const CLOUD_LIST_MS: u64 = 5_000;
+/// Time between readings of the machine types, ms: market prices move slowly.
+pub const CLOUD_TYPES_MS: u64 = 60_000;
+/// Names asked for in one page of the machine list.
+pub const CLOUD_PAGE: u32 = 200;
+/// Most machines in one rental request (protocol).
+pub const RENT_MOST: u32 = 50;
+/// Most names in one return request (protocol).
+pub const RETURN_MOST: usize = 100;
+/// Timeout of a command sent straight to a worker, ms.
+pub const WORKER_TIMEOUT_MS: u64 = 2_000;
+/// Timeout of a message to another controller, ms.
+pub const PEER_TIMEOUT_MS: u64 = 1_000;
+/// Largest request body, bytes (protocol: 64 KiB).
+pub const BODY_MOST: usize = 64 * 1024;
+/// Largest transaction, bytes (protocol: 64 KiB), with room for its envelope.
+pub const TXN_BYTES: usize = 60 * 1024;
+/// Keys asked for in one page of a listing.
+pub const LIST_PAGE: u32 = 200;
+/// Connections one HTTP listener keeps waiting to be accepted.
+pub const BACKLOG: u32 = 256;
+
+// ---- jobs --------------------------------------------------------------------------------------
+
+/// Most tasks of a job (protocol).
+pub const TASKS_MOST: u64 = 100_000;
+/// Longest job id taken, bytes: with a prefix it must fit in a key of 200 bytes.
+pub const JOB_ID_MOST: usize = 120;
+/// Longest other text of a submission, bytes.
+pub const TEXT_MOST: usize = 200;
+/// Most machine types a job may list.
+pub const HULLS_MOST: usize = 256;
+/// Bytes that one binding may take in a chunk, counted in JSON form: two numbers of up to 20
+/// digits, a machine name and a session.
+pub const BINDING_BYTES: usize = 90;
+/// Most tasks in one chunk of bindings, whatever the value size allows.
+pub const CHUNK_TASKS_MOST: u32 = 256;
+/// Launch numbers of one term start at its token shifted left by this many bits. A term thus
+/// has 2^24 launches, and no two terms share one.
+pub const LAUNCH_BITS: u32 = 24;
+/// Final answers a node keeps in its cache.
+pub const FINALS_CACHED: usize = 4_000;
+/// Pause before a failed task is tried again, ms, doubled with each failure.
+pub const RETRY_MS: u64 = 1_000;
+/// Longest such pause, ms.
+pub const RETRY_MOST_MS: u64 = 30_000;
+/// Time before a record of tasks gone, which nothing waits for, is written, ms.
+pub const TIDY_MS: u64 = 1_500;
+/// Seconds the user is asked to wait before trying again.
+pub const RETRY_AFTER_S: u32 = 1;
+
+// ---- machines ----------------------------------------------------------------------------------
+
+/// Share of `lease_s` after which a silent machine is given nothing new.
+pub const QUIET_SHARE: f64 = 0.35;
+/// Share of `lease_s` after which a silent machine is returned: its own lease is then about to
+/// end its tasks anyway.
+pub const LOST_SHARE: f64 = 0.95;
+/// Time before `cancel_s` ends at which a withdrawn task that is not proved gone costs its
+/// machine, ms: list, rate limits and two tries of the return fit in it.
+pub const CANCEL_MARGIN_MS: u64 = 14_000;
+/// Time between two stop commands for the same task, ms.
+pub const STOP_AGAIN_MS: u64 = 1_500;
+/// Grace beyond `stow_s` given to a stop, s.
+pub const EASE_EXTRA_S: f64 = 2.0;
+/// A boot later than this many times `boot_s` is given up.
+pub const BOOT_LATE_FACTOR: f64 = 2.5;
+/// and by at least this much, ms.
+pub const BOOT_LATE_MS: u64 = 20_000;
+/// Time a machine without tasks is kept, ms: a machine returned costs 60 s at least.
+pub const IDLE_MS: u64 = 45_000;
+/// Errors of different jobs on one machine, without a success between, that make it suspect.
+pub const SUSPECT_JOBS: usize = 2;
+/// Machines on which a job must fail before the job itself is suspected.
+pub const FAULTY_JOB_MACHINES: usize = 3;
+/// Pause of a (type, zone, kind) after "no capacity", ms, doubled each time.
+pub const NO_CAPACITY_MS: u64 = 8_000;
+/// Longest such pause, ms.
+pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
+/// Machines remembered as bad for a job.
+pub const BAD_MACHINES_MOST: usize = 16;
+
+// ---- pruning (PAM) -----------------------------------------------------------------------------
+
+/// Pruning threshold: a chance at or below it defers (design; thesis 4.4.2).
+pub const THRESHOLD: f64 = 0.75;
+/// Misses since the last round that engage dropping (design; thesis 4.4.3).
+pub const TOGGLE: u32 = 1;
+/// Longest line of a slot, the executing task included (design; thesis 4.4.1).
+pub const LINE_CAP: usize = 6;
+/// Time between rounds, ms (design).
+pub const ROUND_MS: u64 = 2_000;
+/// Least time between two event-driven passes, ms (processor).
+pub const PASS_MS: u64 = 150;
+/// Bins of a probability mass function: coarse, since a controller has 8% of a core.
+pub const BINS: usize = 24;
+/// A run time before anything is known lies evenly between this many times the estimate ...
+pub const PRIOR_LOW: f64 = 0.5;
+/// ... and this many times (design).
+pub const PRIOR_HIGH: f64 = 3.0;
+/// Weight of that prior, counted in finishes.
+pub const PRIOR_WEIGHT: f64 = 2.0;
+/// Longest run time a histogram tells apart, in its unit of 100 ms: about 28 hours.
+pub const RUN_MOST: u64 = 1_000_000;
+/// Unit of run-time histograms, ms.
+pub const RUN_UNIT_MS: u64 = 100;
+/// Service tasks of each class for which room is kept free, so that a new one need not wait for
+/// a boot.
+pub const RESERVE_TASKS: u32 = 2;
+/// Jobs placed in one pass at most (processor).
+pub const PASS_JOBS: usize = 200;
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,303 @@
+//! Renting and returning machines.
+
+use crate::cloud::{Call, Outcome};
+use crate::cluster::Ctx;
+use crate::cluster::leader::Leader;
+use crate::constants::*;
+use crate::job::{Kind, MachineId, Time};
+use crate::machine::{Machine, Standing};
+use crate::placement::reserve_needs;
+use crate::wire::cloud::Rent;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// Machines that are wanted.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wish {
+    /// Type.
+    pub kind: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// How many.
+    pub number: u32,
+}
+
+/// Names of returned machines remembered, so that an old list does not bring them back.
+const RETURNED_MOST: usize = 2_000;
+
+/// Rentals and returns under way.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    charters: u64,
+    asked: BTreeMap<String, (Wish, Time)>,
+    refused: HashMap<(String, String, bool), (Time, u64)>,
+    returning: BTreeSet<MachineId>,
+    wanted: BTreeSet<MachineId>,
+    returned: VecDeque<MachineId>,
+    /// Keys of bindings whose job is over, to be removed.
+    pub left_over: Vec<String>,
+    listed_at: Time,
+    typed_at: Time,
+    listing: bool,
+}
+
+impl Fleet {
+    /// Rentals asked for and not answered.
+    pub fn asked(&self) -> Vec<(Wish, Time)> {
+        self.asked.values().cloned().collect()
+    }
+
+    /// Whether a machine was returned under this term.
+    pub fn was_returned(&self, id: &MachineId) -> bool {
+        self.returned.contains(id)
+    }
+
+    /// A machine reports for the first time.
+    pub fn arrived(&mut self, id: &MachineId) {
+        tracing::debug!(machine = %id, "machine up");
+    }
+
+    /// Whether a rental is worth asking for.
+    pub fn may_rent(&self, kind: &str, zone: &str, spot: bool, now: Time) -> bool {
+        let key = (kind.to_string(), zone.to_string(), spot);
+        let waiting =
+            self.asked.values().filter(|(w, _)| w.kind == kind && w.zone == zone && w.spot == spot);
+        waiting.count() < 3 && self.refused.get(&key).is_none_or(|(until, _)| now >= *until)
+    }
+
+    /// Asks for machines. A request's name comes from the token and a counter: no node reuses it.
+    pub fn rent(&mut self, token: u64, wishes: Vec<Wish>, ctx: &mut Ctx) {
+        for wish in wishes {
+            let mut left = wish.number;
+            while left > 0 {
+                let number = left.min(RENT_MOST);
+                left -= number;
+                self.charters += 1;
+                let charter = format!("s{token}-{}", self.charters);
+                tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, number, "renting machines");
+                let part = Wish { number, ..wish.clone() };
+                ctx.cloud.push(Call::Rent(rent_call(&charter, &part)));
+                self.asked.insert(charter, (part, ctx.now));
+            }
+        }
+    }
+
+    /// Marks a machine to be returned.
+    pub fn want_return(&mut self, machine: &mut Machine, why: &str) {
+        if machine.advance(Standing::Returning) {
+            tracing::info!(machine = %machine.id, why, "returning machine");
+            self.wanted.insert(machine.id.clone());
+        }
+    }
+}
+
+fn rent_call(charter: &str, wish: &Wish) -> Rent {
+    Rent {
+        charter: charter.to_string(),
+        hull: wish.kind.clone(),
+        dock: wish.zone.clone(),
+        driftwood: wish.spot,
+        number: wish.number,
+    }
+}
+
+/// The cloud has answered, or not.
+pub fn on_cloud(leader: &mut Leader, call: &Call, outcome: &Outcome, ctx: &mut Ctx) {
+    let now = ctx.now;
+    match (call, outcome) {
+        (Call::Rent(rent), Outcome::Rented(berths)) => {
+            let Some((wish, _)) = leader.fleet.asked.remove(&rent.charter) else { return };
+            let key = (wish.kind.clone(), wish.zone.clone(), wish.spot);
+            let got = berths.berths.len() as u32;
+            if got < wish.number {
+                refuse(&mut leader.fleet, key, now);
+            } else {
+                leader.fleet.refused.remove(&key);
+            }
+            for name in &berths.berths {
+                let id = MachineId::from(name.as_str());
+                let machine =
+                    leader.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
+                if machine.heard.is_none() {
+                    machine.kind.clone_from(&wish.kind);
+                    machine.zone.clone_from(&wish.zone);
+                    machine.spot = wish.spot;
+                    machine.rented_at = now;
+                }
+            }
+        }
+        (Call::Rent(rent), Outcome::NoCapacity | Outcome::Malformed(_)) => {
+            if let Some((wish, _)) = leader.fleet.asked.remove(&rent.charter) {
+                tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, "no capacity");
+                refuse(&mut leader.fleet, (wish.kind, wish.zone, wish.spot), now);
+            }
+        }
+        // The same name again: if it was served, the answer is the same and nothing is rented.
+        (Call::Rent(_), _) => ctx.cloud.push(call.clone()),
+        (Call::Return(names), Outcome::Returned) => {
+            for name in names {
+                let id = MachineId::from(name.as_str());
+                leader.fleet.returning.remove(&id);
+                leader.fleet.returned.push_back(id.clone());
+                if leader.fleet.returned.len() > RETURNED_MOST {
+                    leader.fleet.returned.pop_front();
+                }
+                leader.machine_gone(&id, now);
+            }
+        }
+        (Call::Return(names), _) => {
+            for name in names {
+                let id = MachineId::from(name.as_str());
+                leader.fleet.returning.remove(&id);
+                leader.fleet.wanted.insert(id);
+            }
+        }
+        (Call::List(_), Outcome::Listed(page)) => {
+            leader.on_listing(page, now);
+            leader.fleet.listing = page.has_next;
+            if let Some(last) = page.berths.last().filter(|_| page.has_next) {
+                ctx.cloud.push(Call::List(Some(last.name_id.clone())));
+            }
+        }
+        (Call::List(_), _) => leader.fleet.listing = false,
+        (Call::Types, _) => {}
+    }
+}
+
+fn refuse(fleet: &mut Fleet, key: (String, String, bool), now: Time) {
+    let entry = fleet.refused.entry(key).or_insert((0, 0));
+    entry.1 = if entry.1 == 0 { NO_CAPACITY_MS } else { (entry.1 * 2).min(NO_CAPACITY_MOST_MS) };
+    entry.0 = now + entry.1;
+}
+
+/// With every timer step: lists, lost machines, idle machines, returns.
+pub fn tick(leader: &mut Leader, ctx: &mut Ctx) {
+    let now = ctx.now;
+    if !leader.fleet.listing && now >= leader.fleet.listed_at + CLOUD_LIST_MS {
+        leader.fleet.listed_at = now;
+        leader.fleet.listing = true;
+        ctx.cloud.push(Call::List(None));
+    }
+    if now >= leader.fleet.typed_at + CLOUD_TYPES_MS {
+        leader.fleet.typed_at = now;
+        ctx.cloud.push(Call::Types);
+    }
+    cancelled_in_time(leader, ctx);
+    lost(leader, ctx);
+    idle(leader, ctx);
+    let batch: Vec<MachineId> = leader.fleet.wanted.iter().take(RETURN_MOST).cloned().collect();
+    if !batch.is_empty() {
+        for id in &batch {
+            leader.fleet.wanted.remove(id);
+            leader.fleet.returning.insert(id.clone());
+        }
+        ctx.cloud.push(Call::Return(batch.iter().map(|id| id.to_string()).collect()));
+    }
+}
+
+/// A cancelled task that is not proved gone in time costs its machine.
+fn cancelled_in_time(leader: &mut Leader, ctx: &Ctx) {
+    let limit = (ctx.settings.settings.workers.cancel_s * MS_PER_S) as u64;
+    let limit = limit.saturating_sub(CANCEL_MARGIN_MS);
+    let mut late = BTreeSet::new();
+    for job in leader.jobs.values() {
+        if job.cancelled_at.is_some_and(|at| ctx.now >= at + limit) {
+            late.extend(job.attempts.values().filter(|a| a.occupies()).map(|a| a.machine.clone()));
+        }
+    }
+    for id in late {
+        let machine =
+            leader.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, ctx.now));
+        leader.fleet.want_return(machine, "a cancelled task is not proved gone");
+    }
+}
+
+/// Silent machines, boots that are far too late, machines about to be taken.
+fn lost(leader: &mut Leader, ctx: &mut Ctx) {
+    let now = ctx.now;
+    let lease_ms = ctx.settings.settings.workers.lease_s * MS_PER_S;
+    let limit = (lease_ms * LOST_SHARE) as u64;
+    for machine in leader.machines.values_mut() {
+        if machine.standing() == Standing::Returning {
+            continue;
+        }
+        let kind = ctx.type_of(&machine.kind);
+        if let Some(at) = machine.recall_at
+            && now + 1_000 >= at
+        {
+            leader.fleet.want_return(machine, "the cloud takes it back");
+            continue;
+        }
+        match machine.heard {
+            Some(at) => {
+                // A new leader gives every worker time to find it.
+                if now.saturating_sub(at.max(leader.since)) > limit {
+                    leader.fleet.want_return(machine, "it is silent");
+                }
+            }
+            None => {
+                let boot = kind.map_or(60.0 * MS_PER_S, |t| t.boot_ms);
+                let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
+                let bound = !machine.tasks.is_empty();
+                let limit = if bound { limit.max(lease_ms as u64 + 2_000) } else { late };
+                let since =
+                    if bound { machine.known_at } else { machine.rented_at.max(leader.since) };
+                if now.saturating_sub(since) > limit {
+                    leader.fleet.want_return(machine, "it never came up");
+                }
+            }
+        }
+    }
+}
+
+/// Machines without work are returned after a while, suspects as soon as they are empty.
+fn idle(leader: &mut Leader, ctx: &mut Ctx) {
+    let now = ctx.now;
+    let Some(types) = ctx.types.clone() else { return };
+    if leader
+        .jobs
+        .values()
+        .any(|j| !j.waiting.is_empty() && j.spec.kind != Kind::Service && !j.cancelled())
+    {
+        // Work waits: nothing that could serve it is sent away.
+        let fits = |m: &Machine| {
+            types.iter().find(|t| t.name == m.kind).is_some_and(|t| {
+                leader
+                    .jobs
+                    .values()
+                    .any(|j| !j.waiting.is_empty() && t.allows(&j.spec) && (!m.spot || j.spec.spot))
+            })
+        };
+        let keep: BTreeSet<MachineId> =
+            leader.machines.values().filter(|m| fits(m)).map(|m| m.id.clone()).collect();
+        return return_idle(leader, ctx, &keep, now, &types);
+    }
+    return_idle(leader, ctx, &BTreeSet::new(), now, &types);
+}
+
+fn return_idle(
+    leader: &mut Leader,
+    _ctx: &mut Ctx,
+    keep: &BTreeSet<MachineId>,
+    now: Time,
+    types: &[crate::machine::MachineType],
+) {
+    let empty: Vec<(MachineId, bool)> = leader
+        .machines
+        .values()
+        .filter(|m| m.standing() == Standing::Ready && m.tasks.is_empty() && m.strays.is_empty())
+        .filter(|m| m.suspect || now >= m.idle_since + IDLE_MS)
+        .map(|m| (m.id.clone(), m.suspect))
+        .collect();
+    for (id, suspect) in empty {
+        if !suspect && (keep.contains(&id) || reserve_needs(leader, types, Some(&id)) > 0) {
+            continue;
+        }
+        if let Some(machine) = leader.machines.get_mut(&id) {
+            leader
+                .fleet
+                .want_return(machine, if suspect { "it is suspected" } else { "it is idle" });
+        }
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,116 @@
+//! The HTTP front: users, workers, health checks; and the controllers' own listener.
+
+use crate::cluster::actor::{Asked, BeatIn, Controller, Incoming};
+use crate::cluster::{Ask, Reply};
+use crate::constants::*;
+use crate::settings::Settings;
+use crate::wire::users::Problem;
+use crate::wire::{controllers, read, users, workers, write};
+use actix::Addr;
+use actix_web::http::StatusCode;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which a client that sends nothing on an open connection is let go.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+fn respond(reply: Reply) -> HttpResponse {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = HttpResponse::build(status);
+    response.insert_header(("Content-Type", "application/msgpack"));
+    if let Some(after) = reply.retry_after {
+        response.insert_header(("Retry-After", after.to_string()));
+    }
+    response.body(reply.body)
+}
+
+async fn ask(to: &Addr<Controller>, ask: Asked) -> HttpResponse {
+    match to.send(Incoming(ask)).await {
+        Ok(reply) => respond(reply),
+        Err(_) => respond(Reply::later("this node is ending")),
+    }
+}
+
+type Node = web::Data<Addr<Controller>>;
+type Body = Result<web::Bytes, actix_web::Error>;
+
+async fn health(to: Node) -> HttpResponse {
+    ask(&to, Asked::User(Ask::Health)).await
+}
+
+async fn submit(to: Node, body: Body) -> HttpResponse {
+    match body {
+        Ok(body) => ask(&to, Asked::User(Ask::Submit(body.to_vec()))).await,
+        Err(e) => unread(&e),
+    }
+}
+
+async fn poll(to: Node, id: web::Path<String>) -> HttpResponse {
+    ask(&to, Asked::User(Ask::Poll(id.into_inner()))).await
+}
+
+async fn cancel(to: Node, id: web::Path<String>) -> HttpResponse {
+    ask(&to, Asked::User(Ask::Cancel(id.into_inner()))).await
+}
+
+async fn report(to: Node, body: Body) -> HttpResponse {
+    let body = match body {
+        Ok(body) => body,
+        Err(e) => return unread(&e),
+    };
+    match read::<workers::Report>(&body) {
+        Ok(report) => ask(&to, Asked::Report(Box::new(report))).await,
+        Err(e) => respond(Reply::new(400, &Problem { error: e.to_string() })),
+    }
+}
+
+async fn beat(
+    to: Node,
+    own: web::Data<SocketAddr>,
+    request: HttpRequest,
+    body: Body,
+) -> HttpResponse {
+    // Users reach the front alone; who may speak for the controllers is told by the listener.
+    if request.app_config().local_addr() != **own {
+        return HttpResponse::NotFound().finish();
+    }
+    let Some(theirs) = body.ok().and_then(|b| read::<controllers::Beat>(&b).ok()) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    match to.send(BeatIn(theirs)).await {
+        Ok(ours) => HttpResponse::Ok().body(write(&ours)),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn unread(err: &actix_web::Error) -> HttpResponse {
+    respond(Reply::new(400, &Problem { error: format!("the body cannot be read: {err}") }))
+}
+
+/// Serves both listeners until the process ends.
+pub async fn serve(settings: &Settings, to: Addr<Controller>) -> std::io::Result<()> {
+    let sockets = settings.settings.machine_limits.max_connections;
+    let data = web::Data::new(to);
+    let cluster = web::Data::new(settings.cluster_listen);
+    let both = [settings.front, settings.cluster_listen];
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(cluster.clone())
+            .app_data(web::PayloadConfig::new(BODY_MOST))
+            .route(users::path::HEALTH, web::get().to(health))
+            .route(users::path::JOBS, web::post().to(submit))
+            .route(users::path::JOB, web::get().to(poll))
+            .route(users::path::CANCEL, web::post().to(cancel))
+            .route(workers::path::REPORT, web::post().to(report))
+            .route(controllers::path::BEAT, web::post().to(beat))
+    })
+    .workers(1)
+    .max_connections(sockets * 3 / 4)
+    .backlog(BACKLOG)
+    .keep_alive(KEEP_ALIVE)
+    .disable_signals()
+    .bind(&both[..])?;
+    server.run().await
+}
--- /dev/null
+++ b/src/job/mod.rs
@@ -0,0 +1,438 @@
+//! Jobs and their tasks: what was asked for, which attempt is where, and what the store holds.
+
+mod record;
+
+pub use record::{Bound, Chunk, Ending, FinalRecord, JobRecord, chunk_key, chunk_size, keys};
+
+use crate::constants::*;
+use crate::wire::workers::Cause;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Steady time in ms.
+pub type Time = u64;
+/// A job's id.
+pub type JobId = Arc<str>;
+/// A machine's name.
+pub type MachineId = Arc<str>;
+
+/// Shape of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Independent tasks that each run to completion.
+    Array,
+    /// Tasks that run at the same time or not at all.
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+/// Priority, least first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// Low.
+    Low,
+    /// Normal.
+    Normal,
+    /// High.
+    High,
+    /// Production.
+    Production,
+}
+
+/// What a job asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Class of jobs.
+    pub class: String,
+    /// Team.
+    pub team: String,
+    /// Shape.
+    pub kind: Kind,
+    /// Priority.
+    pub priority: Priority,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// CPUs of a task.
+    pub cpus: f64,
+    /// Accelerators of a task.
+    pub gpus: f64,
+    /// Memory of a task, GB.
+    pub memory_gb: f64,
+    /// Image.
+    pub image: String,
+    /// Its size, GB.
+    pub image_gb: f64,
+    /// Allowed machine types.
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub spread: bool,
+    /// May run on spot machines.
+    pub spot: bool,
+    /// Owner's estimate of a task's run time, s.
+    pub estimate_s: f64,
+    /// Interval of checkpoints, s; 0: none.
+    pub checkpoint_s: f64,
+    /// Time to save, s.
+    pub save_s: f64,
+    /// Deadline from submission, s.
+    pub deadline_s: Option<f64>,
+}
+
+impl Spec {
+    /// Most tasks in one zone at a time.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+    }
+}
+
+/// Where an attempt stands. The order is the order of its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Its binding is being committed; no start was offered.
+    Committing,
+    /// Bound; its start is offered in report responses.
+    Bound,
+    /// On the machine, waits for its image.
+    Fetching,
+    /// On the machine, waits for its gang.
+    Waiting,
+    /// Runs.
+    Running,
+    /// Saves.
+    Saving,
+    /// Ended; kept until what follows from it is committed.
+    Exited(Cause),
+}
+
+/// One attempt of a task on a machine.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// Its number, never used again.
+    pub launch: u64,
+    /// Where.
+    pub machine: MachineId,
+    /// Session of the machine that it was bound for.
+    pub watch: u64,
+    /// Where it stands. Changed by [`Attempt::advance`] alone.
+    stage: Stage,
+    /// Bound under an earlier term.
+    pub old_term: bool,
+    /// (session, tick) of the report whose response last carried the start.
+    pub offered: Option<(u64, u64)>,
+    /// A report has shown it.
+    pub seen: bool,
+    /// Its start is not to be offered (again).
+    pub given_up: bool,
+    /// When it was bound (or first known to this term).
+    pub since: Time,
+    /// When it first was seen to run.
+    pub ran_at: Option<Time>,
+    /// When a stop was first wanted, and last sent.
+    pub stop: Option<(Time, Time)>,
+}
+
+impl Attempt {
+    /// A new attempt whose binding is yet to be committed.
+    pub fn new(launch: u64, machine: MachineId, watch: u64, now: Time) -> Attempt {
+        Attempt {
+            launch,
+            machine,
+            watch,
+            stage: Stage::Committing,
+            old_term: false,
+            offered: None,
+            seen: false,
+            given_up: false,
+            since: now,
+            ran_at: None,
+            stop: None,
+        }
+    }
+
+    /// An attempt found in the store by a new leader.
+    pub fn found(bound: &Bound, now: Time) -> Attempt {
+        let mut it = Attempt::new(bound.launch, bound.machine.clone(), bound.watch, now);
+        it.stage = Stage::Bound;
+        it.old_term = true;
+        it
+    }
+
+    /// Where it stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// The one function that changes the stage. Returns whether it changed. An exited attempt
+    /// stays exited: a late report cannot bring it back.
+    pub fn advance(&mut self, to: Stage, now: Time) -> bool {
+        if matches!(self.stage, Stage::Exited(_)) || self.stage == to {
+            return false;
+        }
+        if to == Stage::Running && self.ran_at.is_none() {
+            self.ran_at = Some(now);
+        }
+        self.stage = to;
+        true
+    }
+
+    /// Whether it takes room on its machine.
+    pub fn occupies(&self) -> bool {
+        !matches!(self.stage, Stage::Exited(_))
+    }
+}
+
+/// State of a job in the leader's tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobState {
+    /// Accepted, tasks wait or run.
+    Live,
+    /// Cancelled; its tasks are being ended.
+    Cancelling,
+    /// Its final record is being committed.
+    Closing,
+    /// Its final record is committed.
+    Closed,
+}
+
+/// A transaction of a job on its way.
+#[derive(Debug, Clone)]
+pub struct Flight {
+    /// Number of the write, held in each chunk it writes.
+    pub nonce: u64,
+    /// Chunks written.
+    pub chunks: Vec<u32>,
+    /// (task, launch) bound by it.
+    pub bound: Vec<(u32, u64)>,
+    /// Tasks done by it.
+    pub done: Vec<u32>,
+    /// It closes the job.
+    pub closes: bool,
+}
+
+/// A job as the leader holds it.
+#[derive(Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// What it asks for.
+    pub spec: Arc<Spec>,
+    /// Stamp of its record in the store.
+    pub stamp: u64,
+    state: JobState,
+    /// Time of day of its acceptance, ms since the epoch.
+    pub accepted_wall: u64,
+    /// Deadline in steady time.
+    pub due: Option<Time>,
+    /// When this leader learnt of it.
+    pub known_at: Time,
+    /// When this leader learnt that it is cancelled.
+    pub cancelled_at: Option<Time>,
+    /// Tasks that wait for a place.
+    pub waiting: BTreeSet<u32>,
+    /// Tasks that wait for a pause after a failure to end.
+    pub held: BTreeMap<u32, (Time, u32)>,
+    /// Failures of tasks so far.
+    pub failures: BTreeMap<u32, u32>,
+    /// Attempts not proved gone, and exits not yet committed.
+    pub attempts: BTreeMap<u32, Attempt>,
+    /// Tasks done and committed.
+    pub done: BTreeSet<u32>,
+    /// Tasks in a chunk.
+    pub chunk_tasks: u32,
+    /// Stamps of the chunks in the store.
+    pub chunk_stamps: BTreeMap<u32, u64>,
+    /// Chunks whose record differs, and since when; `true` if something waits for it.
+    pub dirty: BTreeMap<u32, (Time, bool)>,
+    /// Transaction on its way.
+    pub flight: Option<Flight>,
+    /// Machines on which a task of it failed.
+    pub bad_machines: VecDeque<MachineId>,
+    /// Gang: being stopped because a task was lost.
+    pub regroup: bool,
+    /// Counted as missed already.
+    pub missed: bool,
+    /// Tasks of it that stand in lines.
+    pub lined: u32,
+}
+
+impl Job {
+    /// A job from its record.
+    pub fn new(id: JobId, record: &JobRecord, stamp: u64, now: Time, wall: u64) -> Job {
+        let spec = Arc::new(record.spec.clone());
+        let due = spec.deadline_s.map(|s| {
+            let passed = wall.saturating_sub(record.accepted_wall);
+            (now + (s * MS_PER_S).min(1e15) as u64).saturating_sub(passed)
+        });
+        Job {
+            id,
+            waiting: (0..spec.tasks).collect(),
+            chunk_tasks: record.chunk_tasks.max(1),
+            spec,
+            stamp,
+            state: JobState::Live,
+            accepted_wall: record.accepted_wall,
+            due,
+            known_at: now,
+            cancelled_at: None,
+            held: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            done: BTreeSet::new(),
+            chunk_stamps: BTreeMap::new(),
+            dirty: BTreeMap::new(),
+            flight: None,
+            bad_machines: VecDeque::new(),
+            regroup: false,
+            missed: false,
+            lined: 0,
+        }
+    }
+
+    /// Its state.
+    pub fn state(&self) -> JobState {
+        self.state
+    }
+
+    /// The one function that changes the state. A job never goes back.
+    pub fn advance(&mut self, to: JobState, now: Time) -> bool {
+        let allowed = matches!(
+            (self.state, to),
+            (JobState::Live, JobState::Cancelling | JobState::Closing)
+                | (JobState::Cancelling, JobState::Closing)
+                | (JobState::Closing, JobState::Cancelling | JobState::Closed)
+        );
+        if !allowed {
+            return false;
+        }
+        if to == JobState::Cancelling {
+            self.cancelled_at.get_or_insert(now);
+        }
+        self.state = to;
+        true
+    }
+
+    /// Whether its user has cancelled it.
+    pub fn cancelled(&self) -> bool {
+        self.cancelled_at.is_some()
+    }
+
+    /// The chunk of a task.
+    pub fn chunk_of(&self, task: u32) -> u32 {
+        task / self.chunk_tasks
+    }
+
+    /// Notes that the record of a task's chunk must be written.
+    pub fn touch(&mut self, task: u32, now: Time, urgent: bool) {
+        let entry = self.dirty.entry(self.chunk_of(task)).or_insert((now, false));
+        entry.1 |= urgent;
+    }
+
+    /// The record of a chunk as it should be.
+    pub fn chunk(&self, chunk: u32, nonce: u64) -> Chunk {
+        let from = chunk * self.chunk_tasks;
+        let to = (from + self.chunk_tasks).min(self.spec.tasks);
+        let exited = self.attempts.range(from..to).filter(|(_, a)| is_done(a)).map(|(t, _)| *t);
+        let done: BTreeSet<u32> = self.done.range(from..to).copied().chain(exited).collect();
+        let bound = self.attempts.range(from..to).filter(|(_, a)| a.occupies());
+        Chunk {
+            nonce,
+            done: record::ranges(&done),
+            bound: bound
+                .map(|(task, a)| Bound {
+                    task: *task,
+                    launch: a.launch,
+                    machine: a.machine.clone(),
+                    watch: a.watch,
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes over a chunk read from the store.
+    pub fn restore(&mut self, chunk: u32, record: &Chunk, stamp: u64, now: Time) {
+        self.chunk_stamps.insert(chunk, stamp);
+        for &(from, to) in &record.done {
+            for task in from..=to.min(self.spec.tasks.saturating_sub(1)) {
+                self.waiting.remove(&task);
+                self.done.insert(task);
+            }
+        }
+        for bound in &record.bound {
+            if bound.task < self.spec.tasks && self.waiting.remove(&bound.task) {
+                self.attempts.insert(bound.task, Attempt::found(bound, now));
+            }
+        }
+    }
+
+    /// An attempt is proved gone, or was never started: its task waits again.
+    pub fn release(&mut self, task: u32, now: Time) -> Option<Attempt> {
+        let attempt = self.attempts.remove(&task)?;
+        if !self.done.contains(&task) {
+            self.waiting.insert(task);
+        }
+        self.touch(task, now, false);
+        Some(attempt)
+    }
+
+    /// Holds a waiting task back after a failure.
+    pub fn hold(&mut self, task: u32, now: Time) {
+        if self.waiting.remove(&task) {
+            let count = self.failures.entry(task).or_insert(0);
+            *count += 1;
+            let pause = RETRY_MS << (*count - 1).min(8);
+            self.held.insert(task, (now + pause.min(RETRY_MOST_MS), *count));
+        }
+    }
+
+    /// Tasks whose pause is over wait again.
+    pub fn unhold(&mut self, now: Time) {
+        if self.held.is_empty() {
+            return;
+        }
+        let over: Vec<u32> =
+            self.held.iter().filter(|(_, (at, _))| *at <= now).map(|(t, _)| *t).collect();
+        for task in over {
+            self.held.remove(&task);
+            self.waiting.insert(task);
+        }
+    }
+
+    /// Remembers a machine as bad for this job.
+    pub fn blame(&mut self, machine: &MachineId) {
+        if !self.bad_machines.contains(machine) {
+            if self.bad_machines.len() >= BAD_MACHINES_MOST {
+                self.bad_machines.pop_front();
+            }
+            self.bad_machines.push_back(machine.clone());
+        }
+    }
+
+    /// Tasks in one zone that are not proved gone.
+    pub fn in_zone<'a>(
+        &'a self,
+        zone_of: impl Fn(&MachineId) -> Option<&'a str>,
+        zone: &str,
+    ) -> u32 {
+        let there =
+            self.attempts.values().filter(|a| zone_of(&a.machine).is_none_or(|z| z == zone));
+        there.filter(|a| a.occupies()).count() as u32
+    }
+
+    /// (done, running) for display.
+    pub fn counts(&self) -> (u32, u32) {
+        let running = self.attempts.values().filter(|a| a.stage() == Stage::Running).count();
+        (self.done.len() as u32, running as u32)
+    }
+}
+
+fn is_done(attempt: &Attempt) -> bool {
+    attempt.stage() == Stage::Exited(Cause::Done)
+}
--- /dev/null
+++ b/src/job/record.rs
@@ -0,0 +1,140 @@
+//! What the state service holds of a job, in compact form.
+
+use super::{JobId, MachineId, Spec};
+use crate::constants::*;
+use crate::settings::State;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Prefixes and keys in the state service.
+pub mod keys {
+    /// Accepted jobs that are not over.
+    pub const JOBS: &str = "job/";
+    /// Jobs that are over, kept for good.
+    pub const FINALS: &str = "end/";
+    /// Bindings of tasks, in chunks.
+    pub const BINDINGS: &str = "bind/";
+    /// The leader's key.
+    pub const LEADER: &str = "term/leader";
+    /// Prefix of the leader's key.
+    pub const TERM: &str = "term/";
+    /// The machine types.
+    pub const TYPES: &str = "types/all";
+
+    /// Key of a live job.
+    pub fn job(id: &str) -> String {
+        format!("{JOBS}{id}")
+    }
+    /// Key of a final job.
+    pub fn end(id: &str) -> String {
+        format!("{FINALS}{id}")
+    }
+}
+
+/// Key of a chunk of bindings.
+pub fn chunk_key(id: &JobId, chunk: u32) -> String {
+    format!("{}{id}/{chunk:05}", keys::BINDINGS)
+}
+
+/// Tasks in a chunk, so that its record fits in a value whatever it holds.
+pub fn chunk_size(state: &State) -> u32 {
+    let bytes = (state.value_kb * 1024.0 - 256.0).max(0.0);
+    ((bytes / BINDING_BYTES as f64) as u32).clamp(1, CHUNK_TASKS_MOST)
+}
+
+/// A live job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Whether its user has cancelled it.
+    #[serde(rename = "x", default)]
+    pub cancelled: bool,
+    /// Time of day of its cancellation, ms.
+    #[serde(rename = "xat", default)]
+    pub cancelled_wall: u64,
+    /// Time of day of its acceptance, ms.
+    #[serde(rename = "at")]
+    pub accepted_wall: u64,
+    /// Tasks in a chunk: fixed at acceptance, so that no change of settings moves a task.
+    #[serde(rename = "c")]
+    pub chunk_tasks: u32,
+    /// Number that tells this writing from any other.
+    #[serde(rename = "w", default)]
+    pub nonce: u64,
+    /// What it asks for.
+    #[serde(rename = "j")]
+    pub spec: Spec,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ending {
+    /// Every task is done.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled.
+    #[serde(rename = "x")]
+    Cancelled,
+}
+
+/// A job that is over.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    /// How.
+    #[serde(rename = "e")]
+    pub ending: Ending,
+    /// Tasks done.
+    #[serde(rename = "n")]
+    pub done: u32,
+}
+
+/// One binding.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(u32, u64, String, u64)", into = "(u32, u64, String, u64)")]
+pub struct Bound {
+    /// Task.
+    pub task: u32,
+    /// Attempt.
+    pub launch: u64,
+    /// Machine.
+    pub machine: MachineId,
+    /// Its session.
+    pub watch: u64,
+}
+
+impl From<(u32, u64, String, u64)> for Bound {
+    fn from((task, launch, machine, watch): (u32, u64, String, u64)) -> Bound {
+        Bound { task, launch, machine: machine.into(), watch }
+    }
+}
+
+impl From<Bound> for (u32, u64, String, u64) {
+    fn from(b: Bound) -> Self {
+        (b.task, b.launch, b.machine.to_string(), b.watch)
+    }
+}
+
+/// Bindings and finishes of a range of tasks.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Number of the write.
+    #[serde(rename = "w")]
+    pub nonce: u64,
+    /// Tasks done, as ranges with both ends.
+    #[serde(rename = "d", default)]
+    pub done: Vec<(u32, u32)>,
+    /// Attempts not proved gone.
+    #[serde(rename = "b", default)]
+    pub bound: Vec<Bound>,
+}
+
+/// Tasks as ranges with both ends.
+pub fn ranges(tasks: &BTreeSet<u32>) -> Vec<(u32, u32)> {
+    let mut found: Vec<(u32, u32)> = Vec::new();
+    for &task in tasks {
+        match found.last_mut() {
+            Some((_, to)) if *to + 1 == task => *to = task,
+            _ => found.push((task, task)),
+        }
+    }
+    found
+}
--- /dev/null
+++ b/src/machine/mod.rs
@@ -0,0 +1,271 @@
+//! Machines: their types, what is known of each, and what is on it.
+
+use crate::constants::*;
+use crate::job::{JobId, MachineId, Spec, Time};
+use crate::wire::cloud::{Hull, Listed};
+use crate::wire::workers::Report;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A machine type.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MachineType {
+    /// Its name.
+    pub name: String,
+    /// CPUs.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub memory_gb: f64,
+    /// Image cache, GB.
+    pub cache_gb: f64,
+    /// Rate of image fetches, GB/s.
+    pub fetch: f64,
+    /// Price an hour.
+    pub price: f64,
+    /// Spot price an hour.
+    pub spot_price: f64,
+    /// Usual boot time, ms.
+    pub boot_ms: f64,
+    /// Zones.
+    pub zones: Vec<String>,
+}
+
+impl From<&Hull> for MachineType {
+    fn from(h: &Hull) -> MachineType {
+        MachineType {
+            name: h.sku.clone(),
+            cpus: h.cpus,
+            gpus: h.accelerators,
+            memory_gb: h.memory_gb,
+            cache_gb: h.cache_gb,
+            fetch: if h.fetch_gb_per_s > 0.0 { h.fetch_gb_per_s } else { 0.1 },
+            price: h.price,
+            spot_price: h.market_price,
+            boot_ms: h.boot_s * MS_PER_S,
+            zones: h.docks.clone(),
+        }
+    }
+}
+
+impl MachineType {
+    /// Whether one task fits an empty machine of this type, in the job's allowed types and zone.
+    pub fn allows(&self, spec: &Spec) -> bool {
+        spec.types.as_ref().is_none_or(|t| t.contains(&self.name))
+            && spec.zone.as_ref().is_none_or(|z| self.zones.contains(z))
+            && self.room().holds(spec)
+    }
+
+    /// All its room.
+    pub fn room(&self) -> Room {
+        Room { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
+    }
+
+    /// Price an hour of a kind.
+    pub fn cost(&self, spot: bool) -> f64 {
+        if spot { self.spot_price } else { self.price }
+    }
+}
+
+/// Amounts of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Room {
+    /// CPUs.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+    /// Memory, GB.
+    pub memory_gb: f64,
+}
+
+/// Slack for sums of decimal amounts.
+const SLACK: f64 = 1e-6;
+
+impl Room {
+    /// What one task takes.
+    pub fn of(spec: &Spec) -> Room {
+        Room { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+    /// Whether a task fits.
+    pub fn holds(&self, spec: &Spec) -> bool {
+        self.covers(&Room::of(spec))
+    }
+    /// Whether it is at least as large.
+    pub fn covers(&self, other: &Room) -> bool {
+        self.cpus + SLACK >= other.cpus
+            && self.gpus + SLACK >= other.gpus
+            && self.memory_gb + SLACK >= other.memory_gb
+    }
+    /// Takes from it.
+    pub fn take(&mut self, other: &Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+    /// Gives to it.
+    pub fn give(&mut self, other: &Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+    /// Tasks of that size that fit.
+    pub fn fits(&self, each: &Room) -> u32 {
+        let of = |have: f64, want: f64| if want > 0.0 { (have + SLACK) / want } else { f64::MAX };
+        let n = of(self.cpus, each.cpus)
+            .min(of(self.gpus, each.gpus))
+            .min(of(self.memory_gb, each.memory_gb));
+        n.clamp(0.0, 1e6) as u32
+    }
+}
+
+/// Where a machine stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Known by name only (from a binding or a rental); boots or has not reported to this term.
+    Expected,
+    /// Reports, but has not yet acknowledged this term's token: its state is not known.
+    Greeted,
+    /// Reports under this term's token: may be given work.
+    Ready,
+    /// Is to be emptied and returned.
+    Draining,
+    /// A return is on its way.
+    Returning,
+}
+
+/// A machine as the leader holds it.
+#[derive(Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Worker's address.
+    pub addr: String,
+    standing: Standing,
+    /// Newest (session, tick).
+    pub latest: (u64, u64),
+    /// Newest (session, tick) of a report proper.
+    pub reported: (u64, u64),
+    /// When it was last heard.
+    pub heard: Option<Time>,
+    /// When this term first knew it.
+    pub known_at: Time,
+    /// When it was rented, as far as known.
+    pub rented_at: Time,
+    /// When it will be taken.
+    pub recall_at: Option<Time>,
+    /// The cloud lists it, and as what.
+    pub listed: Option<Time>,
+    /// Attempts bound to it that are not proved gone.
+    pub tasks: BTreeMap<(JobId, u32), u64>,
+    /// Attempts reported that no table knows; they take room until a report lacks them.
+    pub strays: BTreeMap<(JobId, u32, u64), Option<Room>>,
+    /// Attempts to be forgotten.
+    pub reaps: BTreeSet<(JobId, u32, u64)>,
+    /// Images taken to be in its cache, latest last, with sizes.
+    pub images: VecDeque<(String, f64)>,
+    /// Since when it has had no task.
+    pub idle_since: Time,
+    /// Jobs whose tasks failed on it since the last success.
+    pub errors: BTreeSet<JobId>,
+    /// Why it is suspected.
+    pub suspect: bool,
+}
+
+impl Machine {
+    /// A machine known by name.
+    pub fn new(id: MachineId, now: Time) -> Machine {
+        Machine {
+            id,
+            kind: String::new(),
+            zone: String::new(),
+            spot: false,
+            addr: String::new(),
+            standing: Standing::Expected,
+            latest: (0, 0),
+            reported: (0, 0),
+            heard: None,
+            known_at: now,
+            rented_at: now,
+            recall_at: None,
+            listed: None,
+            tasks: BTreeMap::new(),
+            strays: BTreeMap::new(),
+            reaps: BTreeSet::new(),
+            images: VecDeque::new(),
+            idle_since: now,
+            errors: BTreeSet::new(),
+            suspect: false,
+        }
+    }
+
+    /// Where it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
+    /// The one function that changes the standing. What is being returned never comes back.
+    pub fn advance(&mut self, to: Standing) -> bool {
+        use Standing::*;
+        let allowed = matches!(
+            (self.standing, to),
+            (Expected, Greeted | Ready | Draining | Returning)
+                | (Greeted, Ready | Draining | Returning)
+                | (Ready, Draining | Returning)
+                | (Draining, Ready | Returning)
+        );
+        if allowed {
+            self.standing = to;
+        }
+        allowed
+    }
+
+    /// Takes over what the machine list says.
+    pub fn describe(&mut self, listed: &Listed, now: Time) {
+        self.listed = Some(now);
+        if self.heard.is_none() {
+            self.kind.clone_from(&listed.hull);
+            self.zone.clone_from(&listed.dock);
+            self.spot = listed.driftwood;
+            self.addr.clone_from(&listed.addr);
+            self.rented_at = now.saturating_sub((listed.held_s.max(0.0) * MS_PER_S) as u64);
+        }
+    }
+
+    /// Takes over what a report says of the machine itself.
+    pub fn greet(&mut self, report: &Report, now: Time) {
+        if self.kind != report.hull {
+            self.kind.clone_from(&report.hull);
+        }
+        if self.zone != report.dock {
+            self.zone.clone_from(&report.dock);
+        }
+        if self.addr != report.addr {
+            self.addr.clone_from(&report.addr);
+        }
+        self.spot = report.driftwood;
+        self.recall_at = report.recall_s.map(|s| now + (s.max(0.0) * MS_PER_S) as u64);
+    }
+
+    /// Whether an image is taken to be in its cache.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Notes that an image is there, dropping those used longest ago.
+    pub fn note_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push_back((image.to_string(), gb));
+        let mut total: f64 = self.images.iter().map(|i| i.1).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            if let Some((_, gone)) = self.images.pop_front() {
+                total -= gone;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The program: everything is in the library.
+
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    swiftsail::program::main()
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,315 @@
+//! The state service's client as a pure machine: budget, order, retries, unknown outcomes.
+
+use crate::constants::*;
+use crate::job::Time;
+use crate::wire::state::{Commit, News, Page, Pair};
+use std::collections::{HashMap, VecDeque};
+
+/// A call to the state service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Call {
+    /// Read one key.
+    Get(String),
+    /// Read a page of keys.
+    List {
+        /// Prefix.
+        prefix: String,
+        /// Begin after this key.
+        from: Option<String>,
+    },
+    /// A transaction.
+    Commit(Commit),
+    /// A new lease.
+    Grant {
+        /// Time to live, ms.
+        ttl_ms: u64,
+    },
+    /// Extend a lease.
+    Extend(u64),
+    /// Wait for changes.
+    Follow {
+        /// Prefix.
+        prefix: String,
+        /// After this revision.
+        from: u64,
+    },
+}
+
+impl Call {
+    fn writes(&self) -> f64 {
+        match self {
+            Call::Commit(c) => c.apply.len() as f64,
+            _ => 0.0,
+        }
+    }
+}
+
+/// What came of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// The key.
+    Found(Pair),
+    /// No such key.
+    Missing {
+        /// Revision of the store.
+        epoch: u64,
+    },
+    /// A page.
+    Page(Page),
+    /// Committed at this revision.
+    Committed(u64),
+    /// A condition failed.
+    Conflict(Vec<String>),
+    /// The lease named does not exist.
+    NoGrant,
+    /// A lease.
+    Granted(u64),
+    /// Changes.
+    News(News),
+    /// The watch asked for changes that are no longer kept.
+    TooOld,
+    /// Not executed: over a limit.
+    Limited,
+    /// Not executed: the service is away, or refuses this node.
+    Refused,
+    /// The request is malformed: a defect.
+    Malformed(String),
+    /// May have been executed, or may yet be.
+    Unknown,
+}
+
+impl Outcome {
+    /// Whether the service did its work.
+    pub fn answered(&self) -> bool {
+        !matches!(self, Outcome::Refused | Outcome::Unknown | Outcome::Limited)
+    }
+}
+
+/// Order in which calls leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// The term.
+    Term,
+    /// Users and tasks.
+    Work,
+    /// What nothing waits for.
+    Tidy,
+}
+
+/// How long a call is tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Once, and only if it leaves before this time.
+    Once(Time),
+    /// Until it has a definite outcome.
+    Always,
+}
+
+#[derive(Debug)]
+struct Pending<P> {
+    call: Call,
+    purpose: P,
+    urgency: Urgency,
+    patience: Patience,
+    not_before: Time,
+    tries: u32,
+    uncertain: bool,
+}
+
+/// A call's end, for the one that asked.
+#[derive(Debug)]
+pub struct Finished<P> {
+    /// What it was for.
+    pub purpose: P,
+    /// What came of it.
+    pub outcome: Outcome,
+    /// An earlier try had no answer: a conflict may be with that try itself.
+    pub uncertain: bool,
+}
+
+/// Tokens that fill at a rate, up to one second's worth.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    held: f64,
+    at: Time,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: f64, now: Time) -> Bucket {
+        Bucket { rate, held: rate.max(1.0), at: now }
+    }
+    /// Changes the rate.
+    pub fn set_rate(&mut self, rate: f64, now: Time) {
+        self.fill(now);
+        self.rate = rate;
+        self.held = self.held.min(rate.max(1.0));
+    }
+    fn fill(&mut self, now: Time) {
+        let passed = now.saturating_sub(self.at) as f64 / MS_PER_S;
+        self.held = (self.held + passed * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+    /// Whether that many may be taken now, leaving `spare` for more urgent ones. More than the
+    /// bucket can ever hold passes when it is full, and leaves a debt.
+    pub fn can(&mut self, wanted: f64, spare: f64, now: Time) -> bool {
+        self.fill(now);
+        let most = self.rate.max(1.0);
+        self.held + 1e-9 >= (wanted + spare).min(most)
+    }
+    /// Takes them.
+    pub fn take(&mut self, wanted: f64) {
+        self.held -= wanted;
+    }
+}
+
+/// The client.
+#[derive(Debug)]
+pub struct Store<P> {
+    requests: Bucket,
+    writes: Bucket,
+    queues: [VecDeque<Pending<P>>; 3],
+    flying: HashMap<u64, Pending<P>>,
+    follows: usize,
+    next: u64,
+    paused_until: Time,
+    pause: u64,
+    rps: f64,
+    write_rps: f64,
+    /// When the service last did its work for this node.
+    pub last_ok: Option<Time>,
+    /// When it last did not.
+    pub last_fail: Option<Time>,
+}
+
+impl<P> Store<P> {
+    /// A client that keeps within these rates.
+    pub fn new(rps: f64, write_rps: f64, now: Time) -> Store<P> {
+        Store {
+            requests: Bucket::new(rps, now),
+            writes: Bucket::new(write_rps, now),
+            queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
+            flying: HashMap::new(),
+            follows: 0,
+            next: 1,
+            paused_until: 0,
+            pause: STORE_BACKOFF_MS,
+            rps,
+            write_rps,
+            last_ok: None,
+            last_fail: None,
+        }
+    }
+
+    /// Sets this node's share.
+    pub fn set_rates(&mut self, rps: f64, write_rps: f64, now: Time) {
+        if rps != self.rps || write_rps != self.write_rps {
+            (self.rps, self.write_rps) = (rps, write_rps);
+            self.requests.set_rate(rps, now);
+            self.writes.set_rate(write_rps, now);
+        }
+    }
+
+    /// Whether the service is known to be away: its latest word was a refusal.
+    pub fn away(&self) -> bool {
+        self.last_fail.is_some() && self.last_fail > self.last_ok
+    }
+
+    /// Whether the queues have room for another user's call.
+    pub fn has_room(&self) -> bool {
+        self.queues.iter().map(VecDeque::len).sum::<usize>() < STORE_QUEUE_MOST
+    }
+
+    /// Asks for a call.
+    pub fn push(&mut self, call: Call, purpose: P, urgency: Urgency, patience: Patience) {
+        let pending =
+            Pending { call, purpose, urgency, patience, not_before: 0, tries: 0, uncertain: false };
+        self.queues[urgency as usize].push_back(pending);
+    }
+
+    /// Drops what waits and no longer matters. Calls in flight still end with an outcome.
+    pub fn forget(&mut self, matters: impl Fn(&P) -> bool) {
+        for queue in &mut self.queues {
+            queue.retain(|p| matters(&p.purpose));
+        }
+    }
+
+    /// Calls that may leave now, and those whose time has run out.
+    pub fn pump(&mut self, now: Time) -> (Vec<(u64, Call)>, Vec<Finished<P>>) {
+        let (mut out, mut late) = (Vec::new(), Vec::new());
+        for level in 0..self.queues.len() {
+            let mut kept = VecDeque::new();
+            while let Some(mut pending) = self.queues[level].pop_front() {
+                if let Patience::Once(until) = pending.patience
+                    && now >= until
+                {
+                    late.push(finished(pending, Outcome::Refused));
+                    continue;
+                }
+                if !self.may_leave(&pending, now) {
+                    kept.push_back(pending);
+                    continue;
+                }
+                let follow = matches!(pending.call, Call::Follow { .. });
+                self.follows += usize::from(follow);
+                self.requests.take(1.0);
+                self.writes.take(pending.call.writes());
+                pending.tries += 1;
+                let id = self.next;
+                self.next += 1;
+                out.push((id, pending.call.clone()));
+                self.flying.insert(id, pending);
+            }
+            self.queues[level] = kept;
+        }
+        (out, late)
+    }
+
+    fn may_leave(&mut self, pending: &Pending<P>, now: Time) -> bool {
+        // What is less urgent leaves a part of the budget to the more urgent.
+        let spare = [0.0, 0.1, 0.4][pending.urgency as usize];
+        let term = pending.urgency == Urgency::Term;
+        now >= pending.not_before
+            && (term || now >= self.paused_until)
+            && (term || self.flying.len() - self.follows < STORE_IN_FLIGHT_MOST)
+            && self.requests.can(1.0, spare * self.rps, now)
+            && (pending.call.writes() == 0.0
+                || self.writes.can(pending.call.writes(), spare * self.write_rps, now))
+    }
+
+    /// Takes the outcome of a call that left. None if it will be tried again.
+    pub fn finish(&mut self, id: u64, outcome: Outcome, now: Time) -> Option<Finished<P>> {
+        let mut pending = self.flying.remove(&id)?;
+        let follow = matches!(pending.call, Call::Follow { .. });
+        self.follows -= usize::from(follow);
+        if outcome.answered() {
+            self.last_ok = Some(now);
+            self.pause = STORE_BACKOFF_MS;
+            self.paused_until = 0;
+            return Some(finished(pending, outcome));
+        }
+        // A follow that times out or ends says nothing of the service: it blocks by nature.
+        if outcome != Outcome::Limited && !follow {
+            self.last_fail = Some(now);
+        }
+        if !follow {
+            self.paused_until = now + self.pause;
+            self.pause = (self.pause * 2).min(STORE_BACKOFF_MOST_MS);
+        }
+        pending.uncertain |= outcome == Outcome::Unknown;
+        match pending.patience {
+            Patience::Always => {
+                let wait = STORE_BACKOFF_MS << pending.tries.min(3);
+                pending.not_before = now + wait.min(STORE_BACKOFF_MOST_MS);
+                self.queues[pending.urgency as usize].push_back(pending);
+                None
+            }
+            Patience::Once(_) => Some(finished(pending, outcome)),
+        }
+    }
+}
+
+fn finished<P>(pending: Pending<P>, outcome: Outcome) -> Finished<P> {
+    Finished { purpose: pending.purpose, outcome, uncertain: pending.uncertain }
+}
--- /dev/null
+++ b/src/term/mod.rs
@@ -0,0 +1,163 @@
+//! Leadership: one key attached to a lease; its stamp is the token.
+
+use crate::constants::*;
+use crate::job::Time;
+use serde::{Deserialize, Serialize};
+
+/// Value of the leader's key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Name of the leading node.
+    pub node: String,
+    /// Number of its process, so that it knows its own writing.
+    pub process: u64,
+}
+
+/// Where this node stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Does not know the leader's key yet.
+    Unknown,
+    /// Another node holds the key.
+    Following,
+    /// Nobody holds it; campaigns at this time.
+    Vacant(Time),
+    /// Asked for a lease.
+    Granting,
+    /// Tries to write the key under this lease.
+    Acquiring(u64),
+    /// Holds the key; reads the store.
+    Loading,
+    /// Leads.
+    Leading,
+}
+
+/// This node's view of the term.
+#[derive(Debug)]
+pub struct Term {
+    phase: Phase,
+    /// Highest token seen anywhere.
+    pub highest: u64,
+    /// Leader of the newest term known, if it is held.
+    pub leader: Option<String>,
+    /// This node's own token while it holds the key.
+    pub token: u64,
+    /// Its lease.
+    pub grant: u64,
+    /// When the lease was last known to be extended (time the request was sent).
+    pub extended_at: Time,
+    /// When the next extension is due.
+    pub extend_at: Time,
+    /// Counts changes of who leads, so that stale answers are known.
+    pub era: u64,
+}
+
+impl Default for Term {
+    fn default() -> Self {
+        Term {
+            phase: Phase::Unknown,
+            highest: 0,
+            leader: None,
+            token: 0,
+            grant: 0,
+            extended_at: 0,
+            extend_at: 0,
+            era: 0,
+        }
+    }
+}
+
+impl Term {
+    /// Where this node stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Holds the key, as far as it knows.
+    pub fn holds(&self) -> bool {
+        matches!(self.phase, Phase::Loading | Phase::Leading)
+    }
+
+    /// The one function that changes the phase. Refuses to lead under a token that is not the
+    /// highest seen.
+    pub fn advance(&mut self, to: Phase) -> bool {
+        use Phase::*;
+        let allowed = match (self.phase, to) {
+            (Acquiring(_), Loading) => self.token >= self.highest && self.token > 0,
+            (Loading, Leading) => self.token >= self.highest,
+            (_, Loading | Leading) => false,
+            (Vacant(_), Granting) | (Granting, Acquiring(_)) => true,
+            (_, Granting | Acquiring(_)) => false,
+            (_, Unknown | Following | Vacant(_)) => true,
+        };
+        if allowed && self.phase != to {
+            if !matches!(to, Leading) {
+                self.era += 1;
+            }
+            if !matches!(to, Loading | Leading) {
+                self.token = 0;
+            }
+            self.phase = to;
+        }
+        allowed
+    }
+
+    /// Notes a token seen. True if this node must step down.
+    pub fn saw(&mut self, token: u64) -> bool {
+        if token > self.highest {
+            self.highest = token;
+            if self.leader.is_some() && self.token != token {
+                self.leader = None;
+            }
+        }
+        self.holds() && self.highest > self.token
+    }
+
+    /// The key is held by that node under that token.
+    pub fn held_by(&mut self, node: &str, token: u64) {
+        if token >= self.highest {
+            self.highest = token;
+            self.leader = Some(node.to_string());
+        }
+    }
+
+    /// The lease may be gone already: no extension for its whole time.
+    pub fn lapsed(&self, now: Time) -> bool {
+        self.holds() && now.saturating_sub(self.extended_at) > GRANT_TTL_MS
+    }
+}
+
+/// Evidence by which a leader without the store may go on answering.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Voucher {
+    /// When it was heard.
+    pub heard: Time,
+    /// Age of that node's last store success when it was sent, ms.
+    pub store_age_ms: u64,
+    /// Highest token that node knew.
+    pub token: u64,
+}
+
+/// Whether a leader may still answer reports with 200. Its last store success must be so recent
+/// that a worker's lease granted now runs out before any cancellation accepted elsewhere since
+/// falls due; or a majority, itself included, is without the store and knows of no newer term:
+/// then nobody can have accepted a cancellation.
+pub fn may_answer(
+    now: Time,
+    token: u64,
+    store_ok: Time,
+    limit_ms: u64,
+    vouchers: &[Voucher],
+    controllers: usize,
+) -> bool {
+    let age = now.saturating_sub(store_ok);
+    if age <= limit_ms {
+        return true;
+    }
+    let vouching = vouchers.iter().filter(|v| {
+        now.saturating_sub(v.heard) <= BEAT_FRESH_MS
+            && v.store_age_ms > STORE_TIMEOUT_MS
+            && v.token <= token
+    });
+    (vouching.count() + 1) * 2 > controllers
+}
--- /dev/null
+++ b/src/wire/users.rs
@@ -0,0 +1,196 @@
+//! Users and the controllers.
+
+use super::WireError;
+use crate::constants::*;
+use crate::job::{JobId, Kind, Priority, Spec};
+use rmpv::Value;
+use serde::Serialize;
+
+/// Paths of this interface.
+pub mod path {
+    /// Submissions.
+    pub const JOBS: &str = "/v1/jobs";
+    /// One job.
+    pub const JOB: &str = "/v1/jobs/{id}";
+    /// Its cancellation.
+    pub const CANCEL: &str = "/v1/jobs/{id}/withdraw";
+    /// Health.
+    pub const HEALTH: &str = "/up";
+}
+
+/// A job's state as users see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Status {
+    /// No task runs.
+    #[serde(rename = "pending")]
+    Pending,
+    /// Some task runs.
+    #[serde(rename = "running")]
+    Running,
+    /// Every task is done.
+    #[serde(rename = "done")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+/// Answer about one job.
+#[derive(Debug, Clone, Serialize)]
+pub struct JobAnswer {
+    /// Its id.
+    pub name_id: String,
+    /// Its state.
+    pub status: Status,
+    /// Tasks done.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    /// Tasks running.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// Answer to a request that failed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Problem {
+    /// Cause and remedy.
+    pub error: String,
+}
+
+/// A submission as far as it could be read: the id tells a known job from a bad request.
+#[derive(Debug)]
+pub struct Submission {
+    /// The job's id.
+    pub id: JobId,
+    /// What it asks for, or what is wrong.
+    pub spec: Result<Spec, WireError>,
+}
+
+/// Whether a text is a job id of the form that users use: a short lower-case prefix, a dash and
+/// digits or letters.
+pub fn valid_id(text: &str) -> bool {
+    let Some((prefix, rest)) = text.split_once('-') else {
+        return false;
+    };
+    let word = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_alphanumeric());
+    text.len() <= JOB_ID_MOST && prefix == "wk" && word(rest)
+}
+
+struct Fields(Vec<(Value, Value)>);
+
+impl Fields {
+    fn get(&self, name: &str) -> Option<&Value> {
+        let found = self.0.iter().find(|(k, _)| k.as_str() == Some(name));
+        found.map(|(_, v)| v).filter(|v| !v.is_nil())
+    }
+    fn text(&self, name: &'static str) -> Result<String, WireError> {
+        let found = self.get(name).ok_or(WireError::Field(name, "is missing"))?;
+        text_of(found, name)
+    }
+    fn number(&self, name: &'static str) -> Result<f64, WireError> {
+        let found = self.get(name).ok_or(WireError::Field(name, "is missing"))?;
+        let number = found.as_f64().ok_or(WireError::Field(name, "is not a number"))?;
+        if number.is_finite() && number >= 0.0 {
+            Ok(number)
+        } else {
+            Err(WireError::Field(name, "must be finite and at least 0"))
+        }
+    }
+    fn optional_number(&self, name: &'static str) -> Result<Option<f64>, WireError> {
+        self.get(name).map(|_| self.number(name)).transpose()
+    }
+    fn flag(&self, name: &'static str) -> Result<bool, WireError> {
+        let found = self.get(name).ok_or(WireError::Field(name, "is missing"))?;
+        found.as_bool().ok_or(WireError::Field(name, "is not true or false"))
+    }
+    fn texts(&self, name: &'static str) -> Result<Option<Vec<String>>, WireError> {
+        let Some(found) = self.get(name) else {
+            return Ok(None);
+        };
+        let list = found.as_array().ok_or(WireError::Field(name, "is not a list"))?;
+        if list.is_empty() || list.len() > HULLS_MOST {
+            return Err(WireError::Field(name, "is empty or too long"));
+        }
+        let texts: Result<Vec<String>, WireError> = list.iter().map(|v| text_of(v, name)).collect();
+        texts.map(Some)
+    }
+}
+
+fn text_of(value: &Value, name: &'static str) -> Result<String, WireError> {
+    let text = value.as_str().ok_or(WireError::Field(name, "is not text"))?;
+    if text.is_empty() || text.len() > TEXT_MOST {
+        return Err(WireError::Field(name, "is empty or too long"));
+    }
+    Ok(text.to_string())
+}
+
+/// Reads a submission. An error here is about the id or the body as a whole.
+pub fn read_submission(body: &[u8]) -> Result<Submission, WireError> {
+    if body.len() > BODY_MOST {
+        return Err(WireError::TooLarge(body.len()));
+    }
+    let mut rest = body;
+    let value = rmpv::decode::read_value_with_max_depth(&mut rest, 16)
+        .map_err(|e| WireError::Form(e.to_string()))?;
+    let Value::Map(fields) = value else {
+        return Err(WireError::Form("it is not a map".into()));
+    };
+    let fields = Fields(fields);
+    let id = fields.text("name_id")?;
+    if !valid_id(&id) {
+        return Err(WireError::Field("name_id", "has not the form of a job id"));
+    }
+    let id = JobId::from(id.as_str());
+    let spec = if rest.is_empty() {
+        read_spec(&fields)
+    } else {
+        Err(WireError::Form("more follows the map".into()))
+    };
+    Ok(Submission { id, spec })
+}
+
+fn read_spec(f: &Fields) -> Result<Spec, WireError> {
+    let kind = match f.text("shape")?.as_str() {
+        "array" => Kind::Array,
+        "gang" => Kind::Gang,
+        "service" => Kind::Service,
+        _ => return Err(WireError::Field("shape", "is none of array, gang, service")),
+    };
+    let priority = match f.text("rank")?.as_str() {
+        "production" => Priority::Production,
+        "high" => Priority::High,
+        "standard" => Priority::Normal,
+        "low" => Priority::Low,
+        _ => return Err(WireError::Field("rank", "is no known priority")),
+    };
+    let tasks = f.get("shards").ok_or(WireError::Field("shards", "is missing"))?;
+    let tasks = tasks
+        .as_u64()
+        .or_else(|| tasks.as_f64().filter(|v| v.fract() == 0.0 && *v >= 0.0).map(|v| v as u64))
+        .ok_or(WireError::Field("shards", "is not a count"))?;
+    if tasks == 0 || tasks > TASKS_MOST {
+        return Err(WireError::Field("shards", "must be from 1 to 100000"));
+    }
+    let zone = f.get("dock").map(|_| f.text("dock")).transpose()?;
+    Ok(Spec {
+        class: f.text("jobclass")?,
+        team: f.text("crew")?,
+        kind,
+        priority,
+        tasks: tasks as u32,
+        cpus: f.number("cpus")?,
+        gpus: f.number("accelerators")?,
+        memory_gb: f.number("memory_gb")?,
+        image: f.text("bundle")?,
+        image_gb: f.number("pull_gb")?,
+        types: f.texts("hulls")?,
+        zone,
+        one_zone: f.flag("one_zone")?,
+        spread: f.flag("scatter")?,
+        spot: f.flag("driftwood")?,
+        estimate_s: f.number("eta_s")?,
+        checkpoint_s: f.number("mark_s")?,
+        save_s: f.number("stow_s")?,
+        deadline_s: f.optional_number("due_s")?,
+    })
+}
--- /dev/null
+++ b/tests/chance.rs
@@ -0,0 +1,89 @@
+//! The chance arithmetic against direct enumeration, on generated inputs.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use swiftsail::chance::{History, Pmf};
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
+    // A fixed seed: the same verdict each time.
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]))
+}
+
+fn points() -> impl Strategy<Value = Vec<(f64, f64)>> {
+    prop::collection::vec((0.0..100_000.0f64, 0.01..5.0f64), 1..12)
+}
+
+fn total(pmf: &Pmf) -> f64 {
+    pmf.mass.iter().map(|m| f64::from(*m)).sum()
+}
+
+#[test]
+fn mass_is_conserved() {
+    let strategy = (points(), points(), 0.0..200_000.0f64, 0.0..100_000.0f64);
+    runner()
+        .run(&strategy, |(a, b, deadline, elapsed)| {
+            let (a, b) = (Pmf::from_points(&a), Pmf::from_points(&b));
+            for pmf in [a.convolve(&b), a.clone().cut(deadline), a.remaining(elapsed)] {
+                prop_assert!((total(&pmf) - 1.0).abs() < 1e-3, "mass {}", total(&pmf));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn chance_grows_with_the_deadline() {
+    runner()
+        .run(&(points(), 0.0..150_000.0f64, 0.0..50_000.0f64), |(a, deadline, more)| {
+            let a = Pmf::from_points(&a);
+            prop_assert!(a.chance(deadline) <= a.chance(deadline + more) + 1e-9);
+            prop_assert_eq!(a.chance(f64::NEG_INFINITY), 0.0);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_sum_is_what_enumeration_says() {
+    runner()
+        .run(&(points(), points()), |(a, b)| {
+            let (pa, pb) = (Pmf::from_points(&a), Pmf::from_points(&b));
+            let sum = pa.convolve(&pb);
+            // Each step rounds to the nearest of a few bins: half a bin each way.
+            let slack = sum.step / 2.0 + 1.0;
+            prop_assert!((sum.mean() - pa.mean() - pb.mean()).abs() <= slack);
+            let least = pa.origin + pb.origin;
+            prop_assert!(sum.chance(least) < 1e-6);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn mass_past_a_deadline_moves_onto_it() {
+    runner()
+        .run(&(points(), 1.0..100_000.0f64), |(a, deadline)| {
+            let whole = Pmf::from_points(&a);
+            let cut = whole.clone().cut(deadline);
+            let last = cut.origin + (cut.mass.len() - 1) as f64 * cut.step;
+            let first = whole.origin.min(deadline);
+            prop_assert!(last <= deadline + 1.0);
+            prop_assert!(cut.origin + 1.0 >= first);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_history_moves_from_the_estimate_to_what_was_seen() {
+    let mut history = History::default();
+    let prior = history.run_time("big", 10.0).clone();
+    assert!((prior.mean() - 17_500.0).abs() < 1.0, "evenly from 5 s to 30 s");
+    for _ in 0..50 {
+        history.record("big", 8_000);
+    }
+    let learnt = history.run_time("big", 10.0);
+    assert!(learnt.chance(9_500.0) > 0.9, "chance {}", learnt.chance(9_500.0));
+    assert!(learnt.chance(7_000.0) < 0.1);
+}
