--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,68 @@
+//! The rules of the protocol, on the pure cores of three controllers against the stand-in.
+
+mod standin;
+
+use standin::{Weather, World, job};
+
+const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
+const ROUGH: Weather = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
+
+/// A mixed load: arrays, gangs, services, some of them cancelled.
+fn load(world: &mut World) {
+    for n in 0..6u64 {
+        let id = format!("wk-a{n}");
+        let cancel = (n % 3 == 2).then_some(20_000 + n * 5_000);
+        world.submit(500 + n * 4_000, cancel, job(&id, "array", "red", 8, 2.0, 6.0));
+        let id = format!("wk-g{n}");
+        world.submit(1_000 + n * 5_000, None, job(&id, "gang", "blue", 3, 2.0, 8.0));
+        let id = format!("wk-s{n}");
+        let cancel = (n % 2 == 1).then_some(45_000 + n * 3_000);
+        world.submit(200 + n * 2_000, cancel, job(&id, "service", "blue", 2, 1.0, 0.0));
+    }
+}
+
+fn assert_over(world: &World, what: &str) {
+    assert!(world.broken.is_empty(), "{what}: {:?}", world.broken);
+    for job in &world.jobs {
+        let last = job.last.as_deref().unwrap_or("no answer");
+        let service = job.text("shape") == "service";
+        let fine = match job.cancel_at {
+            Some(_) => job.over(),
+            None if service => last == "running",
+            None => last == "done",
+        };
+        assert!(fine, "{what}: {} ended as {last}", job.id);
+    }
+}
+
+#[test]
+fn a_calm_day_runs_everything() {
+    let mut world = World::new(1, CALM, 1_000);
+    load(&mut world);
+    world.run(150_000);
+    assert_over(&world, "calm");
+    assert_eq!(world.store.count("bind/"), 3 * 1, "only services that run are bound");
+}
+
+#[test]
+fn rough_days_break_no_rule_and_everything_ends() {
+    for seed in 0..12 {
+        let mut world = World::new(seed, ROUGH, 90_000);
+        load(&mut world);
+        world.run(300_000);
+        assert_over(&world, &format!("seed {seed}"));
+        assert!(world.store.largest_value <= 8 * 1024, "value of {}", world.store.largest_value);
+        assert!(world.store.largest_txn <= 64 * 1024 && world.store.most_ops <= 16);
+    }
+}
+
+#[test]
+fn the_checks_can_fail() {
+    let mut world = World::new(3, CALM, 1_000);
+    load(&mut world);
+    world.run(40_000);
+    assert!(world.broken.is_empty());
+    assert!(world.plant_second_run(), "something runs by now");
+    world.check();
+    assert!(world.broken.iter().any(|b| b.starts_with("ran_twice")), "{:?}", world.broken);
+}
--- /dev/null
+++ b/tests/standin/mod.rs
@@ -0,0 +1,607 @@
+//! A deterministic stand-in of state service, cloud, workers and users in simulated time. It drives
+//! the pure cores of three controllers with crashes, delays, duplicates and lost answers, and checks
+//! the protocol's rules after every step. Every choice comes from one seed.
+
+#![allow(dead_code)]
+
+pub mod outside;
+
+use outside::{CloudSim, StoreSim, Worker};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::sync::Arc;
+use swiftsail::cluster::{Action, Ask, Event, Node, Now, Reply};
+use swiftsail::settings::Settings;
+use swiftsail::store::{Call, Outcome};
+use swiftsail::wire::controllers::Beat;
+use swiftsail::wire::workers::{Direct, Orders, Report};
+use swiftsail::{cloud, wire};
+
+/// Where the steady clock of the stand-in begins.
+pub const BEGIN: u64 = 1_000_000_000;
+const NODES: usize = 3;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Settings of the stand-in's deployment, for a node.
+pub fn settings(node: usize) -> Arc<Settings> {
+    let others: Vec<String> = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| {
+            format!(
+                "[[others]]\nhost_name = \"n{n}\"\nsite = \"a\"\naddress = \"127.0.0.1:{}\"\n",
+                7000 + n
+            )
+        })
+        .collect();
+    let text = format!(
+        "host_name = \"n{node}\"\nsite = \"a\"\nfront = \"127.0.0.1:{}\"\ncluster_listen = \"127.0.0.1:{}\"\n\
+         future = 1\n{}\
+         [endpoints]\ncloud = \"127.0.0.1:1\"\nstate = \"127.0.0.1:2\"\n\
+         [settings]\nzones = [\"a\",\"b\",\"c\"]\nclock_off_ms = 20.0\n\
+         [[settings.teams]]\nname = \"red\"\ncpus = 10.0\ncpus_max = 40.0\n\
+         [[settings.teams]]\nname = \"blue\"\n\
+         [settings.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 35.0\n\
+         [settings.state]\nrps = 150.0\nwrite_rps = 40.0\nvalue_kb = 8.0\ntxn_ops = 16\n\
+         [settings.cloud]\nrps = 4.0\nlist_lag_s = 5.0\n\
+         [settings.machine_limits]\ncores = 0.1\nmem_mb = 40.0\nmax_connections = 500\n",
+        6000 + node,
+        7000 + node,
+        others.concat(),
+    );
+    Arc::new(Settings::parse("stand-in", &text).expect("the stand-in's settings are sound"))
+}
+
+/// A job as its user sees it.
+pub struct UserJob {
+    pub id: String,
+    pub body: Value,
+    pub at: u64,
+    pub cancel_at: Option<u64>,
+    pub accepted: bool,
+    pub last: Option<String>,
+    pub told_cancelled: Option<u64>,
+}
+
+impl UserJob {
+    pub fn text(&self, field: &str) -> &str {
+        self.body[field].as_str().unwrap_or("")
+    }
+    pub fn number(&self, field: &str) -> f64 {
+        self.body[field].as_f64().unwrap_or(0.0)
+    }
+    pub fn tasks(&self) -> u32 {
+        self.body["shards"].as_u64().unwrap_or(0) as u32
+    }
+    pub fn over(&self) -> bool {
+        matches!(self.last.as_deref(), Some("done" | "withdrawn"))
+    }
+}
+
+#[derive(Debug)]
+enum Ev {
+    Tick(usize, u64),
+    ToNode(usize, u64, Box<Event>),
+    StoreCall(usize, u64, u64, Call),
+    CloudCall(usize, u64, Box<cloud::Call>),
+    Direct(usize, u64, String, Box<Direct>),
+    Beat(usize, u64, usize, Beat),
+    WorkerStep(String),
+    Report(usize, Box<Report>, u64),
+    Orders(String, u64, u64, Option<Box<Reply>>),
+    User(usize, u8),
+    UserReply(usize, u8, Option<Reply>),
+    Restart(usize),
+    Crash(usize),
+}
+
+enum Asker {
+    Worker(String, u64, u64),
+    User(usize, u8),
+}
+
+/// How rough the weather is.
+#[derive(Debug, Clone, Copy)]
+pub struct Weather {
+    /// Chance that a message or its answer is lost.
+    pub loss: f64,
+    /// Chance that a message is delivered many seconds late.
+    pub late: f64,
+    /// Crashes of a controller, in all.
+    pub crashes: u32,
+    /// Times the state service is away, and hangs of machines, in all.
+    pub outages: u32,
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    rng: StdRng,
+    pub nodes: Vec<Option<Node>>,
+    lives: [u64; NODES],
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: HashMap<usize, Ev>,
+    seq: u64,
+    pub store: StoreSim,
+    pub cloud: CloudSim,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: Vec<UserJob>,
+    askers: HashMap<(usize, u64, u64), Asker>,
+    next_request: u64,
+    weather: Weather,
+    away: Vec<(u64, u64)>,
+    calm_from: u64,
+    pub done_tasks: BTreeSet<String>,
+    pub started: u64,
+    /// Rules broken, in words.
+    pub broken: Vec<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, weather: Weather, calm_after_ms: u64) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World {
+            now: BEGIN,
+            nodes: Vec::new(),
+            lives: [0; NODES],
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            seq: 0,
+            store: StoreSim::default(),
+            cloud: CloudSim::default(),
+            workers: BTreeMap::new(),
+            jobs: Vec::new(),
+            askers: HashMap::new(),
+            next_request: 1,
+            weather,
+            away: Vec::new(),
+            calm_from: BEGIN + calm_after_ms,
+            done_tasks: BTreeSet::new(),
+            started: 0,
+            broken: Vec::new(),
+            rng: StdRng::seed_from_u64(seed ^ 0xabcd),
+        };
+        for n in 0..NODES {
+            world.nodes.push(None);
+            world.at(BEGIN + n as u64, Ev::Restart(n));
+        }
+        for _ in 0..weather.crashes {
+            let at = BEGIN + rng.random_range(3_000..calm_after_ms);
+            world.at(at, Ev::Crash(rng.random_range(0..NODES)));
+        }
+        for _ in 0..weather.outages {
+            let at = BEGIN + rng.random_range(3_000..calm_after_ms);
+            world.away.push((at, at + rng.random_range(2_000..15_000)));
+        }
+        world
+    }
+
+    fn at(&mut self, time: u64, ev: Ev) {
+        self.seq += 1;
+        self.events.insert(self.seq as usize, ev);
+        self.queue.push(Reverse((time.max(self.now), self.seq, self.seq as usize)));
+    }
+
+    fn calm(&self) -> bool {
+        self.now >= self.calm_from
+    }
+
+    fn lost(&mut self) -> bool {
+        !self.calm() && self.rng.random_bool(self.weather.loss)
+    }
+
+    fn delay(&mut self) -> u64 {
+        if !self.calm() && self.rng.random_bool(self.weather.late) {
+            return self.rng.random_range(2_000..20_000);
+        }
+        self.rng.random_range(1..15)
+    }
+
+    fn store_away(&self) -> bool {
+        self.away.iter().any(|(from, to)| (*from..*to).contains(&self.now))
+    }
+
+    /// A user submits a job at a time, and cancels it later if told to.
+    pub fn submit(&mut self, at_ms: u64, cancel_ms: Option<u64>, body: Value) {
+        let at = BEGIN + at_ms;
+        let id = body["name_id"].as_str().expect("a job has an id").to_string();
+        let cancel_at = cancel_ms.map(|c| BEGIN + c);
+        self.jobs.push(UserJob {
+            id,
+            body,
+            at,
+            cancel_at,
+            accepted: false,
+            last: None,
+            told_cancelled: None,
+        });
+        self.at(at, Ev::User(self.jobs.len() - 1, 0));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, until_ms: u64) {
+        while let Some(Reverse((time, _, _))) = self.queue.peek() {
+            if *time > BEGIN + until_ms {
+                break;
+            }
+            let Some(Reverse((time, _, key))) = self.queue.pop() else { break };
+            self.now = time;
+            if let Some(ev) = self.events.remove(&key) {
+                self.step(ev);
+                self.check();
+            }
+        }
+        self.now = BEGIN + until_ms;
+    }
+
+    fn handle(&mut self, n: usize, life: u64, event: Event) {
+        if self.lives[n] != life {
+            return;
+        }
+        let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now + n as u64 * 7 };
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        node.handle(event, now);
+        loop {
+            let actions = self.nodes[n].as_mut().map(Node::take_actions).unwrap_or_default();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.act(n, life, action);
+            }
+        }
+    }
+
+    fn act(&mut self, n: usize, life: u64, action: Action) {
+        let at = self.now + self.delay();
+        match action {
+            Action::Reply(id, reply) => match self.askers.remove(&(n, life, id)) {
+                Some(Asker::Worker(name, watch, sent)) => {
+                    let reply = (!self.lost()).then(|| Box::new(reply));
+                    self.at(at, Ev::Orders(name, watch, sent, reply));
+                }
+                Some(Asker::User(job, what)) => {
+                    let reply = (!self.lost()).then_some(reply);
+                    self.at(at, Ev::UserReply(job, what, reply));
+                }
+                None => {}
+            },
+            Action::Store(id, call) => self.at(at, Ev::StoreCall(n, life, id, call)),
+            Action::Cloud(call) => self.at(at + 100, Ev::CloudCall(n, life, Box::new(call))),
+            Action::Direct(addr, direct) => {
+                if !self.lost() {
+                    self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
+                }
+            }
+            Action::Beat(beat) => {
+                for other in (0..NODES).filter(|o| *o != n) {
+                    if !self.lost() {
+                        self.at(at, Ev::Beat(n, life, other, beat.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick(n, life) => {
+                if self.lives[n] == life && self.nodes[n].is_some() {
+                    self.handle(n, life, Event::Tick);
+                    self.at(self.now + 100, Ev::Tick(n, life));
+                }
+            }
+            Ev::Restart(n) => {
+                self.lives[n] += 1;
+                let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
+                self.nodes[n] = Some(Node::new(settings(n), self.rng.random(), now));
+                self.at(self.now, Ev::Tick(n, self.lives[n]));
+            }
+            Ev::Crash(n) => {
+                self.nodes[n] = None;
+                self.lives[n] += 1;
+                let at = self.now + self.rng.random_range(2_000..6_000);
+                self.at(at, Ev::Restart(n));
+            }
+            Ev::ToNode(n, life, event) => self.handle(n, life, *event),
+            Ev::Beat(from, life, to, beat) => {
+                self.handle(to, self.lives[to], Event::Beat(beat));
+                if let Some(ours) = self.nodes[to].as_ref().map(Node::beat) {
+                    let at = self.now + self.delay();
+                    self.at(at, Ev::ToNode(from, life, Box::new(Event::Beat(ours))));
+                }
+            }
+            Ev::StoreCall(n, life, id, call) => self.store_call(n, life, id, call),
+            Ev::CloudCall(n, life, call) => {
+                let outcome = if self.lost() {
+                    cloud::Outcome::Failed
+                } else {
+                    let made = self.cloud.call(&call, self.now, &mut self.workers, &mut self.rng);
+                    for name in made.1 {
+                        let at = self.workers[&name].up_at;
+                        self.at(at, Ev::WorkerStep(name));
+                    }
+                    if self.lost() { cloud::Outcome::Failed } else { made.0 }
+                };
+                let at = self.now + self.delay();
+                self.at(at, Ev::ToNode(n, life, Box::new(Event::Cloud(call, outcome))));
+            }
+            Ev::Direct(n, life, addr, direct) => {
+                let now = self.now;
+                let Some(worker) = self.workers.get_mut(&addr).filter(|w| w.awake(now)) else {
+                    return;
+                };
+                let report = worker.direct(&direct, now);
+                let at = self.now + self.delay();
+                if !self.lost() {
+                    self.at(at, Ev::ToNode(n, life, Box::new(Event::Answer(Box::new(report)))));
+                }
+            }
+            Ev::WorkerStep(name) => self.worker_step(&name),
+            Ev::Report(n, report, sent) => {
+                let life = self.lives[n];
+                if self.nodes[n].is_none() {
+                    let (name, watch) = (report.berth.clone(), report.watch);
+                    return self.at(self.now + 1, Ev::Orders(name, watch, sent, None));
+                }
+                self.next_request += 1;
+                let id = self.next_request;
+                let asker = Asker::Worker(report.berth.clone(), report.watch, sent);
+                self.askers.insert((n, life, id), asker);
+                self.handle(n, life, Event::Report(id, report));
+            }
+            Ev::Orders(name, watch, sent, reply) => {
+                let now = self.now;
+                let Some(worker) = self.workers.get_mut(&name) else { return };
+                let Some(reply) = reply else { return worker.unanswered(sent, now) };
+                let orders = (reply.status == 200).then(|| wire::read::<Orders>(&reply.body));
+                let harbor = wire::read::<wire::workers::Redirect>(&reply.body).unwrap_or_default();
+                match orders {
+                    Some(Ok(orders)) => worker.orders(&orders, watch, sent, now, &self.jobs),
+                    _ => worker.redirected(sent, harbor.harbor.as_deref(), now),
+                }
+            }
+            Ev::User(job, what) => self.user(job, what),
+            Ev::UserReply(job, what, reply) => self.user_reply(job, what, reply),
+        }
+    }
+
+    fn store_call(&mut self, n: usize, life: u64, id: u64, call: Call) {
+        let away = self.store_away();
+        if let Call::Follow { prefix, from } = &call {
+            self.store.follows.push((n, life, id, prefix.clone(), *from, self.now + 10_000));
+            return self.wake_follows();
+        }
+        let back = self.now + self.delay();
+        if away {
+            let event = Event::Store(id, Outcome::Refused);
+            return self.at(back, Ev::ToNode(n, life, Box::new(event)));
+        }
+        // Lost on the way, lost on the way back, or applied late after the caller gave up.
+        let fate = if self.calm() { 1.0 } else { self.rng.random_range(0.0..1.0) };
+        if fate < self.weather.loss {
+            let outcome = Event::Store(id, Outcome::Unknown);
+            self.at(self.now + 1_500, Ev::ToNode(n, life, Box::new(outcome)));
+            if fate < self.weather.loss / 2.0 && matches!(call, Call::Commit(_)) {
+                let at = self.now + self.rng.random_range(1..20_000);
+                // To a life that never was: applied, told to nobody.
+                return self.at(at, Ev::StoreCall(n, 0, 0, call));
+            }
+            return;
+        }
+        let outcome = self.store.call(&call, self.now);
+        let lost = self.lost();
+        let (at, outcome) =
+            if lost { (self.now + 1_500, Outcome::Unknown) } else { (back, outcome) };
+        self.at(at, Ev::ToNode(n, life, Box::new(Event::Store(id, outcome))));
+        self.wake_follows();
+    }
+
+    fn wake_follows(&mut self) {
+        for (n, life, id, outcome) in self.store.ready_follows(self.now) {
+            let at = self.now + self.delay();
+            self.at(at, Ev::ToNode(n, life, Box::new(Event::Store(id, outcome))));
+        }
+    }
+
+    fn worker_step(&mut self, name: &str) {
+        let now = self.now;
+        let paused = self.store_away();
+        if self.store.expire(now, paused) {
+            self.wake_follows();
+        } else if self.rng.random_bool(0.2) {
+            self.wake_follows();
+        }
+        let hang = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.0005);
+        let span = self.rng.random_range(2_000..15_000);
+        let others: Vec<(String, u64, outside::At)> = self.gathering();
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if hang {
+            worker.hang_until = now + span;
+        }
+        if worker.awake(now) {
+            worker.advance(now, &self.jobs, &others, &mut self.done_tasks, &mut self.started);
+            if let Some((node, report)) = worker.report_due(now) {
+                let at = self.now + self.delay();
+                if !self.lost() {
+                    self.at(at, Ev::Report(node, Box::new(report), now));
+                }
+            }
+        }
+        self.at(now + 100, Ev::WorkerStep(name.to_string()));
+    }
+
+    /// All gang tasks and where they stand.
+    fn gathering(&self) -> Vec<(String, u64, outside::At)> {
+        let tasks = self.workers.values().filter(|w| !w.gone).flat_map(|w| w.tasks.iter());
+        tasks.map(|t| (t.name.clone(), t.launch, t.at)).collect()
+    }
+
+    // ---- users ---------------------------------------------------------------------------------
+
+    fn pick_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..NODES).filter(|n| self.nodes[*n].is_some()).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    fn user(&mut self, job: usize, what: u8) {
+        let Some(n) = self.pick_node() else {
+            return self.at(self.now + 1_000, Ev::User(job, what));
+        };
+        let id = self.jobs[job].id.clone();
+        let ask = match what {
+            0 => Ask::Submit(rmp_serde::to_vec_named(&self.jobs[job].body).expect("JSON packs")),
+            1 => Ask::Poll(id),
+            _ => Ask::Cancel(id),
+        };
+        self.next_request += 1;
+        let request = self.next_request;
+        let life = self.lives[n];
+        self.askers.insert((n, life, request), Asker::User(job, what));
+        self.handle(n, life, Event::User(request, ask));
+        // A node that ends answers nobody.
+        self.at(self.now + 5_000, Ev::UserReply(job, what + 10, None));
+    }
+
+    fn user_reply(&mut self, job: usize, what: u8, reply: Option<Reply>) {
+        let now = self.now;
+        let j = &mut self.jobs[job];
+        // The guard against a silent node: only the first submission or a cancel needs it.
+        if what >= 10 {
+            let open = match what - 10 {
+                0 => !j.accepted,
+                2 => j.told_cancelled.is_none() && !j.over(),
+                _ => false,
+            };
+            if open {
+                self.at(now, Ev::User(job, what - 10));
+            }
+            return;
+        }
+        let Some(reply) = reply else { return };
+        let body: Value = rmp_serde::from_slice(&reply.body).unwrap_or(Value::Null);
+        let status = body["status"].as_str().unwrap_or("").to_string();
+        match reply.status {
+            200 | 201 => {
+                let first = !j.accepted;
+                j.accepted = true;
+                if let Some(last) = &j.last
+                    && matches!(last.as_str(), "done" | "withdrawn")
+                    && *last != status
+                {
+                    self.broken.push(format!("went_back: {} from {last} to {status}", j.id));
+                }
+                if status == "withdrawn" {
+                    if j.cancel_at.is_none() {
+                        self.broken.push(format!("went_back: {} was not cancelled", j.id));
+                    }
+                    j.told_cancelled.get_or_insert(now);
+                }
+                if status == "done" {
+                    let id = j.id.clone();
+                    let all =
+                        (0..j.tasks()).all(|t| self.done_tasks.contains(&format!("{id}/{t}")));
+                    if !all {
+                        self.broken.push(format!("not_done: {id}"));
+                    }
+                }
+                let j = &mut self.jobs[job];
+                j.last = Some(status);
+                let cancel = j.cancel_at.filter(|_| first);
+                if first {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                    if let Some(at) = cancel {
+                        self.at(at, Ev::User(job, 2));
+                    }
+                } else if what == 1 && !self.jobs[job].over() {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                }
+            }
+            400 | 404 | 422 if j.accepted => {
+                self.broken.push(format!("forgotten: {} got {}", j.id, reply.status));
+            }
+            404 | 400 | 422 => {}
+            _ => {
+                let at = now + self.rng.random_range(1_000..3_000);
+                let poll_over = what == 1 && self.jobs[job].over();
+                if !poll_over && (what != 0 || !self.jobs[job].accepted) {
+                    self.at(at, Ev::User(job, what));
+                }
+            }
+        }
+    }
+
+    // ---- the rules -----------------------------------------------------------------------------
+
+    /// Checks every rule on what is on the machines now.
+    pub fn check(&mut self) {
+        let mut seen: HashMap<&str, &str> = HashMap::new();
+        let mut red = 0.0;
+        let mut zones: HashMap<&str, BTreeMap<&str, u32>> = HashMap::new();
+        let jobs: HashMap<&str, &UserJob> = self.jobs.iter().map(|j| (j.id.as_str(), j)).collect();
+        let mut found = Vec::new();
+        for worker in self.workers.values().filter(|w| !w.gone) {
+            for task in worker.tasks.iter().filter(|t| t.at.on_machine()) {
+                let id = task.name.split('/').next().unwrap_or("");
+                if let Some(other) = seen.insert(&task.name, &worker.name) {
+                    found.push(format!("ran_twice: {} on {other} and {}", task.name, worker.name));
+                }
+                let Some(job) = jobs.get(id) else { continue };
+                if job.text("crew") == "red" {
+                    red += job.number("cpus");
+                }
+                if worker.spot && !job.body["driftwood"].as_bool().unwrap_or(false)
+                    || job.body["dock"].as_str().is_some_and(|z| z != worker.zone)
+                {
+                    found.push(format!("wrong_place: {} on {}", task.name, worker.name));
+                }
+                *zones.entry(id).or_default().entry(&worker.zone).or_default() += 1;
+                if job.told_cancelled.is_some_and(|at| self.now > at + 35_000) {
+                    found.push(format!("ran_cancelled: {}", task.name));
+                }
+            }
+        }
+        for (id, zones) in &zones {
+            let job = jobs[id];
+            if job.body["one_zone"] == json!(true) && zones.len() > 1 {
+                found.push(format!("wrong_place: {id} in several zones"));
+            }
+            let cap = job.tasks().div_ceil(2);
+            if job.body["scatter"] == json!(true) && zones.values().any(|n| *n > cap) {
+                found.push(format!("wrong_place: {id} not spread"));
+            }
+        }
+        if red > 40.0 + 1e-6 {
+            found.push(format!("quota: red uses {red}"));
+        }
+        for it in found {
+            if !self.broken.contains(&it) {
+                self.broken.push(it);
+            }
+        }
+    }
+
+    /// A violation planted by hand: a task that runs is put on a second machine.
+    pub fn plant_second_run(&mut self) -> bool {
+        let running = self.workers.values().find_map(|w| {
+            let task = w.tasks.iter().find(|t| t.at.on_machine())?;
+            (!w.gone).then(|| (w.name.clone(), task.clone()))
+        });
+        let Some((name, task)) = running else { return false };
+        let other = self.workers.values_mut().find(|w| w.name != name && !w.gone);
+        other.map(|w| w.tasks.push(task)).is_some()
+    }
+}
+
+/// A job of a shape, with what the tests vary.
+pub fn job(id: &str, shape: &str, crew: &str, shards: u32, cpus: f64, eta_s: f64) -> Value {
+    json!({"name_id": id, "jobclass": shape, "crew": crew, "shape": shape,
+        "rank": if shape == "service" { "production" } else { "standard" },
+        "shards": shards, "cpus": cpus, "accelerators": 0.0, "memory_gb": 1.0,
+        "bundle": "img", "pull_gb": 0.5, "hulls": null, "dock": null, "one_zone": shape == "gang",
+        "scatter": shape == "service", "driftwood": shape == "array",
+        "eta_s": eta_s, "mark_s": if shape == "gang" { 5.0 } else { 0.0 }, "stow_s": 1.0,
+        "due_s": if shape == "array" { json!(eta_s * 4.0 + 60.0) } else { Value::Null }})
+}
