--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -51,6 +51,9 @@
     in_zone: HashMap<String, u32>,
     scores: Vec<Option<Score>>,
     known: usize,
+    /// Places that turned out not to take it: not tried again in this round, or a job at its
+    /// team's limit would try for ever.
+    shut: HashSet<usize>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -435,6 +438,7 @@
             in_zone,
             scores: Vec::new(),
             known: 0,
+            shut: HashSet::new(),
         }
     }
 
@@ -503,9 +507,9 @@
                     best = Some((n, place, score));
                 }
             }
-            let Some((n, place, score)) = best else { break };
-            if !self.take(&mut choosers[n], place, score) {
-                choosers[n].scores[place] = None;
+            let Some((n, place, _)) = best else { break };
+            if !self.take(&mut choosers[n], place) {
+                choosers[n].shut.insert(place);
             }
             for c in choosers.iter_mut() {
                 if c.known > place {
@@ -526,7 +530,7 @@
                 // Fill the new machine with this job's tasks; the others find it as a place.
                 let before = c.left;
                 while c.left > 0 && self.places[index].room.holds(&c.spec) {
-                    if !self.take(c, index, Score { chance: 1.0, mean: 0.0 }) {
+                    if !self.take(c, index) {
                         break;
                     }
                 }
@@ -549,7 +553,10 @@
     fn evaluate(&mut self, c: &Chooser, index: usize) -> Option<Score> {
         let place = &self.places[index];
         let t = &self.types[place.kind];
-        if !place.room.holds(&c.spec) || !fits_rules(c, t, &place.zone, place.spot) {
+        if c.shut.contains(&index)
+            || !place.room.holds(&c.spec)
+            || !fits_rules(c, t, &place.zone, place.spot)
+        {
             return None;
         }
         if place.machine.as_ref().is_some_and(|m| c.bad.contains(m)) {
@@ -674,7 +681,7 @@
     }
 
     /// One task of the chooser takes a place. False if it cannot.
-    fn take(&mut self, c: &mut Chooser, index: usize, score: Score) -> bool {
+    fn take(&mut self, c: &mut Chooser, index: usize) -> bool {
         let place = self.places[index].clone();
         let team_counts = !matches!(place.what, What::Line(_));
         if team_counts && !self.within_limit(&c.spec) {
@@ -704,7 +711,6 @@
             }
             What::Boot | What::Rental => {}
         }
-        let _ = score;
         if team_counts {
             self.places[index].room.take(&Room::of(&c.spec));
             if !matches!(place.what, What::Now) {
--- a/tests/standin/outside.rs
+++ b/tests/standin/outside.rs
@@ -483,7 +483,8 @@
         all: &[(String, u64, At)],
         done: &mut BTreeSet<String>,
         started: &mut u64,
-    ) {
+    ) -> bool {
+        let mut moved = false;
         if now > self.leased + LEASE {
             self.tasks.clear();
             self.watch += 1;
@@ -529,8 +530,10 @@
             if let Some(next) = next {
                 task.at = next;
                 self.changed = true;
+                moved = true;
             }
         }
+        moved
     }
 }
 
