--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -751,13 +751,16 @@
     /// Places a gang whole or not at all; otherwise plans the machines it lacks.
     fn place_gang(&mut self, c: &mut Chooser) {
         let Some(job) = self.leader.jobs.get(&c.id) else { return };
-        if !job.attempts.is_empty() || (c.left as usize) < c.spec.tasks as usize {
+        // All that are not done yet. Once one is done all are, but a task that was lost before
+        // its exit was seen must start again to say so.
+        if !job.attempts.is_empty() || c.left as usize + job.done.len() < c.spec.tasks as usize {
             return;
         }
+        let missing = c.left;
         let each = Room::of(&c.spec);
         let all = Room {
-            cpus: each.cpus * f64::from(c.spec.tasks),
-            gpus: each.gpus * f64::from(c.spec.tasks),
+            cpus: each.cpus * f64::from(missing),
+            gpus: each.gpus * f64::from(missing),
             memory_gb: 0.0,
         };
         let mut whole = (*c.spec).clone();
@@ -776,7 +779,7 @@
         let mut planned: Option<(u32, Vec<(usize, u32)>)> = None;
         for zone in &zones {
             for now_only in [true, false] {
-                let mut need = c.spec.tasks;
+                let mut need = missing;
                 let mut used = Vec::new();
                 let mut in_zone: HashMap<&str, u32> = HashMap::new();
                 for (i, p) in self.places.iter().enumerate() {
