--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -464,6 +464,11 @@
         let mut orders: BTreeMap<MachineId, Vec<Command>> = BTreeMap::new();
         let mut unstarted = Vec::new();
         for (id, job) in &mut self.jobs {
+            // The last of a gang may also leave by being done, which releases nothing.
+            if job.regroup && !job.attempts.values().any(Attempt::occupies) {
+                job.regroup = false;
+                self.stir = true;
+            }
             if !job.cancelled() && !job.regroup {
                 let draining = job.attempts.values().any(|a| a.stop.is_some());
                 if !draining {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -41,12 +41,12 @@
     load(&mut world);
     world.run(150_000);
     assert_over(&world, "calm");
-    assert_eq!(world.store.count("bind/"), 3 * 1, "only services that run are bound");
+    assert_eq!(world.store.count("bind/"), 3, "only services that run are bound");
 }
 
 #[test]
 fn rough_days_break_no_rule_and_everything_ends() {
-    for seed in 0..12 {
+    for seed in (0..16).chain([147]) {
         let mut world = World::new(seed, ROUGH, 90_000);
         load(&mut world);
         world.run(300_000);
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -427,9 +427,8 @@
     fn worker_step(&mut self, name: &str) {
         let now = self.now;
         let paused = self.store_away();
-        if self.store.expire(now, paused) {
-            self.wake_follows();
-        } else if self.rng.random_bool(0.2) {
+        let ended = self.store.expire(now, paused);
+        if ended || self.rng.random_bool(0.2) {
             self.wake_follows();
         }
         let hang = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.0005);
