--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -184,8 +184,14 @@
         ctx.cloud.push(Call::Types);
     }
     cancelled_in_time(leader, ctx);
-    lost(leader, ctx);
-    idle(leader, ctx);
+    // A leader that the store has not answered lately may be cut off, and what it asks of the
+    // cloud may be held back and done much later, under another leader: it then returns only
+    // what a cancellation needs.
+    let sure = ctx.store.last_ok.is_some_and(|at| now.saturating_sub(at) <= GRANT_TTL_MS);
+    if sure {
+        lost(leader, ctx);
+        idle(leader, ctx);
+    }
     let batch: Vec<MachineId> = leader.fleet.wanted.iter().take(RETURN_MOST).cloned().collect();
     if !batch.is_empty() {
         for id in &batch {
@@ -213,11 +219,25 @@
     }
 }
 
+/// Many machines silent at once are cut off rather than lost: they are given more time.
+fn patience(leader: &Leader, now: Time, lease_ms: f64) -> f64 {
+    let heard = leader.machines.values().filter_map(|m| m.heard);
+    let (mut all, mut quiet) = (0, 0);
+    for at in heard {
+        all += 1;
+        let silent = now.saturating_sub(at.max(leader.since)) as f64;
+        quiet += usize::from(silent > lease_ms * QUIET_SHARE);
+    }
+    let mass = all >= MASS_LEAST && quiet as f64 > all as f64 * MASS_SHARE;
+    if mass { MASS_PATIENCE } else { 1.0 }
+}
+
 /// Silent machines, boots that are far too late, machines about to be taken.
 fn lost(leader: &mut Leader, ctx: &mut Ctx) {
     let now = ctx.now;
     let lease_ms = ctx.settings.settings.workers.lease_s * MS_PER_S;
-    let limit = (lease_ms * LOST_SHARE) as u64;
+    let patience = patience(leader, now, lease_ms);
+    let limit = (lease_ms * LOST_SHARE * patience) as u64;
     for machine in leader.machines.values_mut() {
         if machine.standing() == Standing::Returning {
             continue;
@@ -240,7 +260,7 @@
                 let boot = kind.map_or(60.0 * MS_PER_S, |t| t.boot_ms);
                 let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
                 let bound = !machine.tasks.is_empty();
-                let limit = if bound { limit.max(lease_ms as u64 + 2_000) } else { late };
+                let limit = if bound { limit.max(lease_ms as u64 + LOST_EXTRA_MS) } else { late };
                 let since =
                     if bound { machine.known_at } else { machine.rented_at.max(leader.since) };
                 if now.saturating_sub(since) > limit {
