Relay reports to the leader; judge lines and rentals by one run time

Causes: during a cut between two zones the workers of one could not reach the leader and 47 machines were returned at 170 s; a machine rented was judged by the estimate, a line by the prior's mean (1.75 times it), so rentals always looked sooner; idle accelerator machines were kept for work that never goes there. Ruled out: too many services (their machines were full).

--- a/src/cluster/actor.rs
+++ b/src/cluster/actor.rs
@@ -41,8 +41,8 @@
 pub enum Asked {
     /// By a user.
     User(Ask),
-    /// By a worker.
-    Report(Box<Report>),
+    /// By a worker; the flag tells that another controller has passed it on.
+    Report(Box<Report>, bool),
 }
 
 /// A heartbeat that came in; answered with our own.
@@ -126,6 +126,21 @@
                     }
                 });
             }
+            Action::Relay(id, leader, report) => {
+                let other = self.settings.others.iter().find(|o| o.host_name == leader);
+                let Some(other) = other else {
+                    return to.do_send(Happened(Event::Relayed(id, None)));
+                };
+                let url = format!("http://{}{}", other.address, controllers_wire::path::RELAY);
+                let client = self.long.clone();
+                actix::spawn(async move {
+                    let sent = client.post(url).timeout(Duration::from_millis(RELAY_TIMEOUT_MS));
+                    let reply = send(sent, Some(write(&report))).await.ok();
+                    let reply =
+                        reply.map(|(status, body)| Reply { status, body, retry_after: None });
+                    to.do_send(Happened(Event::Relayed(id, reply)));
+                });
+            }
             Action::Beat(beat) => {
                 let body = write(&beat);
                 for other in &self.settings.others {
@@ -164,7 +179,7 @@
         self.requests.insert(id, answer);
         let event = match msg.0 {
             Asked::User(ask) => Event::User(id, ask),
-            Asked::Report(report) => Event::Report(id, report),
+            Asked::Report(report, relayed) => Event::Report(id, report, relayed),
         };
         self.happen(event, ctx);
         Box::pin(async move { waits.await.unwrap_or_else(|_| Reply::later("this node is ending")) })
--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -346,6 +346,14 @@
                 out.push(command(Verb::Forget, job, *task, *launch, None));
             }
         }
+        // What was told straight to the worker may have been lost: a cut can lie between.
+        for ((job_id, task), launch) in &machine.tasks {
+            let Some(job) = self.jobs.get(job_id) else { continue };
+            let Some(a) = job.attempts.get(task).filter(|a| a.launch == *launch) else { continue };
+            if a.stop.is_some() && a.occupies() && a.stage() != Stage::Saving {
+                out.push(command(Verb::Stop, job_id, *task, *launch, Some(ease_of(job))));
+            }
+        }
         let ready = machine.standing() == Standing::Ready && report.helm == self.token;
         if source != Source::Report || !ready {
             return;
@@ -476,11 +484,7 @@
                 }
             }
             let whole = job.cancelled() || job.regroup;
-            let ease = if job.cancelled() || job.spec.checkpoint_s <= 0.0 {
-                0.0
-            } else {
-                job.spec.save_s + EASE_EXTRA_S
-            };
+            let ease = ease_of(job);
             for (task, attempt) in &mut job.attempts {
                 if !attempt.occupies() || !(whole || attempt.stop.is_some()) {
                     continue;
@@ -802,6 +806,15 @@
     Command { verb, shard: join_task(job, task), launch, ease_s }
 }
 
+/// Grace of a stop: time to save, unless nobody wants what would be saved.
+fn ease_of(job: &Job) -> f64 {
+    if job.cancelled() || job.spec.checkpoint_s <= 0.0 {
+        0.0
+    } else {
+        job.spec.save_s + EASE_EXTRA_S
+    }
+}
+
 /// A put of one of our own records, which always have a JSON form.
 pub fn put<T: serde::Serialize>(key: String, record: &T) -> Change {
     let value = serde_json::to_value(record).unwrap_or_default();
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -82,14 +82,16 @@
     Tick,
     /// A user's request.
     User(RequestId, Ask),
-    /// A worker's report.
-    Report(RequestId, Box<Report>),
+    /// A worker's report, and whether another controller has passed it on.
+    Report(RequestId, Box<Report>, bool),
     /// A worker's answer to a direct command.
     Answer(Box<Report>),
     /// The state service answered, or not.
     Store(u64, Outcome),
     /// The cloud answered, or not.
     Cloud(Box<cloud::Call>, cloud::Outcome),
+    /// The leader's answer to a report passed on, or none.
+    Relayed(RequestId, Option<Reply>),
     /// Another controller's heartbeat, or its answer to ours.
     Beat(Beat),
 }
@@ -105,6 +107,8 @@
     Cloud(cloud::Call),
     /// Send commands straight to a worker.
     Direct(String, Direct),
+    /// Pass a report on to the controller of that name.
+    Relay(RequestId, String, Box<Report>),
     /// Send a heartbeat to every other controller.
     Beat(Beat),
 }
@@ -201,6 +205,14 @@
     leads: bool,
 }
 
+/// What this node, not leading, has done with a worker's reports.
+#[derive(Debug, Default, Clone, Copy)]
+struct Passed {
+    relayed: Time,
+    redirected: Time,
+    relay_until: Time,
+}
+
 /// One controller.
 pub struct Node {
     settings: Arc<Settings>,
@@ -218,7 +230,8 @@
     final_order: VecDeque<JobId>,
     counts: BTreeMap<String, (u32, u32)>,
     peers: BTreeMap<String, Peer>,
-    held_reports: Vec<(RequestId, Box<Report>)>,
+    passed: HashMap<String, Passed>,
+    held_reports: Vec<(RequestId, Box<Report>, bool)>,
     read_at: Time,
     beat_at: Time,
     following: bool,
@@ -262,6 +275,7 @@
             final_order: VecDeque::new(),
             counts: BTreeMap::new(),
             peers: BTreeMap::new(),
+            passed: HashMap::new(),
             held_reports: Vec::new(),
             read_at: 0,
             beat_at: 0,
@@ -300,7 +314,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::User(id, ask) => self.on_user(id, ask),
-            Event::Report(id, report) => self.on_report(id, report),
+            Event::Report(id, report, relayed) => self.on_report(id, report, relayed),
             Event::Answer(report) => self.on_answer(&report),
             Event::Store(id, outcome) => {
                 if let Some(end) = self.store.finish(id, outcome, now.steady) {
@@ -308,6 +322,10 @@
                 }
             }
             Event::Cloud(call, outcome) => self.on_cloud(&call, &outcome),
+            Event::Relayed(id, reply) => {
+                let reply = reply.filter(|r| r.status == 200).unwrap_or_else(|| self.redirect());
+                self.actions.push(Action::Reply(id, reply));
+            }
             Event::Beat(beat) => self.on_beat(&beat),
         }
         self.place();
@@ -452,7 +470,7 @@
         let era = self.term.era;
         self.store.forget(|p| p.era().is_none_or(|e| e == era));
         self.cloud.clear();
-        for (id, _) in std::mem::take(&mut self.held_reports) {
+        for (id, ..) in std::mem::take(&mut self.held_reports) {
             self.actions.push(Action::Reply(id, self.redirect()));
         }
         self.read_term();
@@ -622,8 +640,8 @@
         self.leader = Some(leader);
         self.follow_jobs(from, era);
         self.keep_types();
-        for (id, report) in std::mem::take(&mut self.held_reports) {
-            self.on_report(id, report);
+        for (id, report, relayed) in std::mem::take(&mut self.held_reports) {
+            self.on_report(id, report, relayed);
         }
     }
 
@@ -694,17 +712,23 @@
         Reply::new(421, &Redirect { harbor: leader })
     }
 
-    fn on_report(&mut self, id: RequestId, report: Box<Report>) {
+    fn on_report(&mut self, id: RequestId, report: Box<Report>, relayed: bool) {
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
         }
         if self.loading.is_some() && self.held_reports.len() < 500 {
-            self.held_reports.push((id, report));
+            self.held_reports.push((id, report, relayed));
             return;
         }
-        let reply = if !self.leads() {
-            self.redirect()
-        } else if !self.may_answer() {
+        if !self.leads() {
+            // What another node has passed on is not passed on again: the two could disagree for
+            // ever on who leads.
+            if relayed {
+                return self.actions.push(Action::Reply(id, self.redirect()));
+            }
+            return self.pass_on(id, report);
+        }
+        let reply = if !self.may_answer() {
             Reply::later("without the state service this node may not answer for the controllers")
         } else if let Some(leader) = &mut self.leader {
             let orders = leader.on_report(&report, Source::Report, &mut ctx!(self));
@@ -715,6 +739,38 @@
         self.actions.push(Action::Reply(id, reply));
     }
 
+    /// Not leading: a worker's first report is passed on to the leader, so that its lease lives;
+    /// the next is answered with the way there. A worker that comes back could not reach the
+    /// leader (a cut between them) and is served through this node for a while. The answer passed
+    /// on is always the leader's own.
+    fn pass_on(&mut self, id: RequestId, report: Box<Report>) {
+        let now = self.now.steady;
+        let near = self.term.leader.as_ref().and_then(|l| {
+            let peer = self.peers.get(l)?;
+            let fresh = now.saturating_sub(peer.voucher.heard) <= BEAT_FRESH_MS;
+            (fresh && peer.leads).then(|| l.clone())
+        });
+        let Some(leader) = near else {
+            let reply = self.redirect();
+            return self.actions.push(Action::Reply(id, reply));
+        };
+        if self.passed.len() >= RELAYED_MOST {
+            self.passed.clear();
+        }
+        let passed = self.passed.entry(report.berth.clone()).or_default();
+        let recent = |at: Time| at > 0 && now.saturating_sub(at) <= CAME_BACK_MS;
+        if now >= passed.relay_until && recent(passed.redirected) {
+            passed.relay_until = now + RELAY_MS;
+        } else if now >= passed.relay_until && recent(passed.relayed) {
+            *passed = Passed { redirected: now, ..Passed::default() };
+            let reply = self.redirect();
+            return self.actions.push(Action::Reply(id, reply));
+        }
+        passed.relayed = now;
+        passed.redirected = 0;
+        self.actions.push(Action::Relay(id, leader, report));
+    }
+
     fn on_answer(&mut self, report: &Report) {
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -74,6 +74,16 @@
 pub const TXN_BYTES: usize = 60 * 1024;
 /// Keys asked for in one page of a listing.
 pub const LIST_PAGE: u32 = 200;
+/// Timeout of a relayed report, ms: below the 4 s a worker gives a report.
+pub const RELAY_TIMEOUT_MS: u64 = 2_500;
+/// A worker that comes back within this time after it was sent to the leader, ms, could not
+/// reach it: its own timeout of 4 s and pauses of 1 s fit in it.
+pub const CAME_BACK_MS: u64 = 12_000;
+/// Time for which such a worker is then served through this node, ms, before it is sent to the
+/// leader again.
+pub const RELAY_MS: u64 = 30_000;
+/// Workers whose redirections are remembered (memory).
+pub const RELAYED_MOST: usize = 4_000;
 /// Connections one HTTP listener keeps waiting to be accepted.
 pub const BACKLOG: u32 = 256;
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -283,10 +283,12 @@
         // Work waits: nothing that could serve it is sent away.
         let fits = |m: &Machine| {
             types.iter().find(|t| t.name == m.kind).is_some_and(|t| {
-                leader
-                    .jobs
-                    .values()
-                    .any(|j| !j.waiting.is_empty() && t.allows(&j.spec) && (!m.spot || j.spec.spot))
+                leader.jobs.values().any(|j| {
+                    !j.waiting.is_empty()
+                        && t.allows(&j.spec)
+                        && !t.wasted_on(&j.spec)
+                        && (!m.spot || j.spec.spot)
+                })
             })
         };
         let keep: BTreeSet<MachineId> =
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -55,16 +55,32 @@
 }
 
 async fn report(to: Node, body: Body) -> HttpResponse {
+    take_report(to, body, false).await
+}
+
+async fn take_report(to: Node, body: Body, relayed: bool) -> HttpResponse {
     let body = match body {
         Ok(body) => body,
         Err(e) => return unread(&e),
     };
     match read::<workers::Report>(&body) {
-        Ok(report) => ask(&to, Asked::Report(Box::new(report))).await,
+        Ok(report) => ask(&to, Asked::Report(Box::new(report), relayed)).await,
         Err(e) => respond(Reply::new(400, &Problem { error: e.to_string() })),
     }
 }
 
+async fn relay(
+    to: Node,
+    own: web::Data<SocketAddr>,
+    request: HttpRequest,
+    body: Body,
+) -> HttpResponse {
+    if request.app_config().local_addr() != **own {
+        return HttpResponse::NotFound().finish();
+    }
+    take_report(to, body, true).await
+}
+
 async fn beat(
     to: Node,
     own: web::Data<SocketAddr>,
@@ -104,6 +120,7 @@
             .route(users::path::JOB, web::get().to(poll))
             .route(users::path::CANCEL, web::post().to(cancel))
             .route(workers::path::REPORT, web::post().to(report))
+            .route(controllers::path::RELAY, web::post().to(relay))
             .route(controllers::path::BEAT, web::post().to(beat))
     })
     .workers(1)
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -56,6 +56,12 @@
             && self.room().holds(spec)
     }
 
+    /// Whether a job's tasks would waste the machine: they need none of its accelerators, and would
+    /// keep from work that does.
+    pub fn wasted_on(&self, spec: &Spec) -> bool {
+        self.gpus > 0.0 && spec.gpus <= 0.0
+    }
+
     /// All its room.
     pub fn room(&self) -> Room {
         Room { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -54,6 +54,8 @@
     /// Places that turned out not to take it: not tried again in this round, or a job at its
     /// team's limit would try for ever.
     shut: HashSet<usize>,
+    /// Every type that its job allows has accelerators that it does not need.
+    only_wasteful: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -190,7 +192,12 @@
             let Some(kind) = types.iter().find(|t| t.name == machine.kind) else { continue };
             let booting = machine.standing() == Standing::Expected;
             let able = booting || machine.standing() == Standing::Ready;
-            if Some(&machine.id) == without || !able || machine.suspect || !kind.allows(spec) {
+            if Some(&machine.id) == without
+                || !able
+                || machine.suspect
+                || !kind.allows(spec)
+                || kind.wasted_on(spec)
+            {
                 continue;
             }
             if machine.spot && !spec.spot || machine.recall_at.is_some() {
@@ -439,6 +446,10 @@
             scores: Vec::new(),
             known: 0,
             shut: HashSet::new(),
+            only_wasteful: !self
+                .types
+                .iter()
+                .any(|t| t.allows(&job.spec) && !t.wasted_on(&job.spec)),
         }
     }
 
@@ -607,8 +618,9 @@
         if c.due.is_none()
             && matches!(self.places[i].what, What::Line(_))
             && self.pick_rental(c, true).is_some_and(|p| {
-                let fetch = c.spec.image_gb / self.types[p.kind].fetch * MS_PER_S;
-                p.before.mean() + fetch + c.spec.estimate_s * MS_PER_S < score.mean
+                let t = &self.types[p.kind];
+                let fetch = c.spec.image_gb / t.fetch * MS_PER_S;
+                p.before.mean() + fetch + self.run_guess(c, &t.name).mean() < score.mean
             })
         {
             return None;
@@ -623,7 +635,7 @@
         let demand = self.demand.get(&c.spec.class).copied().unwrap_or(1).max(1);
         for (kind, t) in self.types.iter().enumerate() {
             let fits = t.room().fits(&Room::of(&c.spec));
-            if fits == 0 {
+            if fits == 0 || c.only_wasteful != t.wasted_on(&c.spec) {
                 continue;
             }
             for zone in &t.zones {
@@ -636,10 +648,7 @@
                     let before = Pmf::at(now as f64 + t.boot_ms);
                     let fetch = c.spec.image_gb / t.fetch * MS_PER_S;
                     if passing && let Some(due) = c.due {
-                        let estimate = c.spec.estimate_s * MS_PER_S;
-                        let run = Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH);
-                        let learnt = self.leader.history.get(&c.id).and_then(|h| h.known(&t.name));
-                        let end = before.convolve(learnt.unwrap_or(&run)).later(fetch);
+                        let end = before.convolve(&self.run_guess(c, &t.name)).later(fetch);
                         if end.chance(due as f64) <= THRESHOLD {
                             continue;
                         }
@@ -666,6 +675,13 @@
         best.map(|(_, p)| p)
     }
 
+    /// The run time of a chooser's task on a type, as last computed or before anything is known.
+    fn run_guess(&self, c: &Chooser, kind: &str) -> Pmf {
+        let estimate = c.spec.estimate_s * MS_PER_S;
+        let learnt = self.leader.history.get(&c.id).and_then(|h| h.known(kind));
+        learnt.cloned().unwrap_or_else(|| Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH))
+    }
+
     fn within_limit(&self, spec: &Spec) -> bool {
         let Some(team) = self.ctx.settings.team(&spec.team) else { return false };
         let used = self.usage.get(&spec.team).copied().unwrap_or_default();
--- a/src/wire/controllers.rs
+++ b/src/wire/controllers.rs
@@ -6,6 +6,8 @@
 pub mod path {
     /// Heartbeats.
     pub const BEAT: &str = "/beat";
+    /// A worker's report passed on to the leader; its answer goes back as it is.
+    pub const RELAY: &str = "/relay";
 }
 
 /// Heartbeat: what a controller knows of the term and of the state service.
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -91,6 +91,7 @@
     Direct(usize, u64, String, Box<Direct>),
     Beat(usize, u64, usize, Beat),
     WorkerStep(String),
+    Relay(usize, u64, u64, usize, Box<Report>),
     Report(usize, Box<Report>, u64),
     Orders(String, u64, u64, Option<Box<Reply>>),
     User(usize, u8),
@@ -100,6 +101,7 @@
 }
 
 enum Asker {
+    Relay(usize, u64, u64),
     Worker(String, u64, u64),
     User(usize, u8, u64),
 }
@@ -276,6 +278,10 @@
                     let reply = (!self.lost()).then(|| Box::new(reply));
                     self.at(at, Ev::Orders(name, watch, sent, reply));
                 }
+                Some(Asker::Relay(to, to_life, to_id)) => {
+                    let event = Box::new(Event::Relayed(to_id, Some(reply)));
+                    self.at(at, Ev::ToNode(to, to_life, event));
+                }
                 Some(Asker::User(job, what, sent)) => {
                     let reply = (!self.lost()).then_some(reply);
                     self.at(at, Ev::UserReply(job, what, sent, reply));
@@ -289,6 +295,14 @@
                     self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
                 }
             }
+            Action::Relay(id, leader, report) => {
+                let other = leader.trim_start_matches('n').parse().unwrap_or(0);
+                if self.lost() {
+                    let event = Box::new(Event::Relayed(id, None));
+                    return self.at(self.now + 2_500, Ev::ToNode(n, life, event));
+                }
+                self.at(at, Ev::Relay(n, life, id, other, report));
+            }
             Action::Beat(beat) => {
                 for other in (0..NODES).filter(|o| *o != n) {
                     if !self.lost() {
@@ -355,6 +369,12 @@
                 }
             }
             Ev::WorkerStep(name) => self.worker_step(&name),
+            Ev::Relay(from, from_life, from_id, to, report) => {
+                self.next_request += 1;
+                let (id, life) = (self.next_request, self.lives[to]);
+                self.askers.insert((to, life, id), Asker::Relay(from, from_life, from_id));
+                self.handle(to, life, Event::Report(id, report, true));
+            }
             Ev::Report(n, report, sent) => {
                 let life = self.lives[n];
                 if self.nodes[n].is_none() {
@@ -365,7 +385,7 @@
                 let id = self.next_request;
                 let asker = Asker::Worker(report.berth.clone(), report.watch, sent);
                 self.askers.insert((n, life, id), asker);
-                self.handle(n, life, Event::Report(id, report));
+                self.handle(n, life, Event::Report(id, report, false));
             }
             Ev::Orders(name, watch, sent, reply) => {
                 let now = self.now;
