Room kept for services where their images are; accelerators truly kept for their work

Cause: arrays filled the machines that held the services' images, and ordinary work pinned accelerator machines (the check meant for that was missing from one path).

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -183,5 +183,10 @@
 /// Service tasks of each class for which room is kept free, so that a new one need not wait for
 /// a boot.
 pub const RESERVE_TASKS: u32 = 2;
+/// Tasks of a service's size for which each image that services use keeps room on a machine that
+/// has it: a fetch would make a new one late.
+pub const RESERVE_PER_IMAGE: u32 = 2;
+/// Images of services for which that is done, the most used first.
+pub const RESERVE_IMAGES: usize = 8;
 /// Jobs placed in one pass at most (processor).
 pub const PASS_JOBS: usize = 200;
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -37,6 +37,8 @@
     /// When what is before it ends.
     before: Pmf,
     images: HashSet<String>,
+    /// What of the room is kept for services.
+    kept: Room,
 }
 
 /// A job that has tasks to place.
@@ -112,6 +114,7 @@
         round.prune();
     }
     round.open_places();
+    round.keep_for_services();
     round.release_lined();
     round.choose();
     let Round { leader, ctx, wishes, types, touched, .. } = round;
@@ -347,6 +350,7 @@
                 room,
                 before,
                 images: images.clone(),
+                kept: Room::default(),
             };
             let fresh = !usable(machine, now, lease);
             if fresh {
@@ -403,12 +407,41 @@
                         room: self.types[kind].room(),
                         before: Pmf::at(up.max(now as f64)),
                         images: HashSet::new(),
+                        kept: Room::default(),
                     });
                 }
             }
         }
     }
 
+    /// Keeps room for services where their images are, out of reach of other work.
+    fn keep_for_services(&mut self) {
+        let mut used: HashMap<&str, (u32, Arc<Spec>)> = HashMap::new();
+        let services = self.leader.jobs.values().filter(|j| j.spec.kind == Kind::Service);
+        for job in services.filter(|j| !j.cancelled()) {
+            used.entry(&job.spec.image).or_insert((0, job.spec.clone())).0 += job.spec.tasks;
+        }
+        let mut used: Vec<(u32, Arc<Spec>)> = used.into_values().collect();
+        used.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.image.cmp(&b.1.image)));
+        for (_, spec) in used.into_iter().take(RESERVE_IMAGES) {
+            let each = Room::of(&spec);
+            let mut left = RESERVE_PER_IMAGE;
+            for place in &mut self.places {
+                let fits = place.what == What::Now
+                    && place.images.contains(&spec.image)
+                    && (!place.spot || spec.spot)
+                    && self.types[place.kind].allows(&spec)
+                    && !self.types[place.kind].wasted_on(&spec);
+                let mut both = place.kept;
+                both.give(&each);
+                if left > 0 && fits && place.room.covers(&both) {
+                    place.kept = both;
+                    left -= 1;
+                }
+            }
+        }
+    }
+
     /// Room that has become free beats standing in a line: whoever stands in one and fits chooses
     /// again.
     fn release_lined(&mut self) {
@@ -564,8 +597,13 @@
     fn evaluate(&mut self, c: &Chooser, index: usize) -> Option<Score> {
         let place = &self.places[index];
         let t = &self.types[place.kind];
+        let mut room = place.room;
+        if c.spec.kind != Kind::Service {
+            room.take(&place.kept);
+        }
         if c.shut.contains(&index)
-            || !place.room.holds(&c.spec)
+            || c.only_wasteful != t.wasted_on(&c.spec)
+            || !room.holds(&c.spec)
             || !fits_rules(c, t, &place.zone, place.spot)
         {
             return None;
@@ -666,6 +704,7 @@
                             room: t.room(),
                             before,
                             images: HashSet::new(),
+                            kept: Room::default(),
                         };
                         best = Some((cost, place));
                     }
