--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -46,6 +46,8 @@
     pub passed_at: Time,
     /// See `passed_at`.
     pub round_at: Time,
+    /// Services for which room is being made: since when, and the fetch they will need there, ms.
+    pub preempting: HashMap<JobId, (Time, f64)>,
     /// Something changed that a pass may use.
     pub stir: bool,
     launches: u64,
@@ -89,6 +91,7 @@
             misses: 0,
             passed_at: 0,
             round_at: now,
+            preempting: HashMap::new(),
             stir: true,
             launches: 0,
             nonce: 0,
@@ -243,6 +246,11 @@
                 let stage = stage_of(shard);
                 let image = (job.spec.image.clone(), job.spec.image_gb);
                 if attempt.advance(stage, ctx.now) {
+                    if stage == Stage::Running {
+                        let waited_ms = ctx.now.saturating_sub(job.known_at);
+                        let bound_ms = ctx.now.saturating_sub(attempt.since);
+                        tracing::debug!(job = %job_id, task, machine = %id, class = %job.spec.class, waited_ms, bound_ms, "task runs");
+                    }
                     if matches!(stage, Stage::Running | Stage::Waiting)
                         && let Some(m) = self.machines.get_mut(id)
                     {
@@ -756,6 +764,7 @@
         }
         self.lines.drop_job(id);
         self.history.remove(id);
+        self.preempting.remove(id);
         tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
     }
 
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -188,5 +188,11 @@
 pub const RESERVE_PER_IMAGE: u32 = 2;
 /// Images of services for which that is done, the most used first.
 pub const RESERVE_IMAGES: usize = 8;
+/// Time that a service must gain by it before tasks of lower priority are stopped for it, ms.
+pub const PREEMPT_GAIN_MS: f64 = 8_000.0;
+/// Reports after which a stopped task's room is taken to be free for the next.
+pub const PREEMPT_REPORTS: f64 = 2.0;
+/// Time a service waits for room made for it, ms, before it takes any other.
+pub const PREEMPT_WAIT_MS: u64 = 9_000;
 /// Jobs placed in one pass at most (processor).
 pub const PASS_JOBS: usize = 200;
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -522,6 +522,7 @@
             for mut gang in gangs {
                 self.place_gang(&mut gang);
             }
+            self.preempt(&mut others);
             self.map(&mut others, true);
             rest.extend(others.into_iter().filter(|c| c.left > 0));
         }
@@ -535,6 +536,92 @@
         self.map(&mut overdue, false);
     }
 
+    /// Makes room for services by stopping tasks of lower priority, where that starts them clearly
+    /// sooner than any free room would. The service then waits a moment for that room.
+    fn preempt(&mut self, choosers: &mut [Chooser]) {
+        let now = self.ctx.now;
+        let soon = self.ctx.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
+        for c in choosers.iter_mut().filter(|c| c.spec.kind == Kind::Service && c.left > 0) {
+            self.score(c);
+            let scores = c.scores.iter().flatten();
+            let best = scores.map(|s| s.mean - now as f64).fold(f64::MAX, f64::min);
+            let since = self.leader.preempting.get(&c.id).copied();
+            // Any place as good as the one being made will do.
+            let goal = since.map_or(0.0, |(_, fetch)| fetch + soon).max(PREEMPT_GAIN_MS);
+            if best <= goal || since.is_some_and(|(at, _)| now > at + PREEMPT_WAIT_MS) {
+                continue;
+            }
+            if since.is_none() {
+                let limit = best - PREEMPT_GAIN_MS - soon;
+                let Some((fetch, victims)) = self.victims(c, limit) else { continue };
+                self.leader.preempting.insert(c.id.clone(), (now, fetch));
+                for (id, task) in victims {
+                    let Some(job) = self.leader.jobs.get_mut(&id) else { continue };
+                    if let Some(attempt) = job.attempts.get_mut(&task) {
+                        tracing::info!(job = %id, task, machine = %attempt.machine, by = %c.id, "task preempted");
+                        attempt.stop.get_or_insert((now, 0));
+                    }
+                }
+            }
+            c.left = 0;
+        }
+    }
+
+    /// The tasks whose stop makes room for a service, and the fetch it then needs: least, and
+    /// within `limit` ms; among equals, what loses the least work.
+    fn victims(&self, c: &Chooser, limit: f64) -> Option<(f64, Vec<(JobId, u32)>)> {
+        let now = self.ctx.now;
+        let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
+        let mut best: Option<(f64, u64, Vec<(JobId, u32)>)> = None;
+        for machine in self.leader.machines.values().filter(|m| usable(m, now, lease)) {
+            let Some(kind) = self.types.iter().find(|t| t.name == machine.kind) else { continue };
+            let fetch = match machine.has_image(&c.spec.image) {
+                true => 0.0,
+                false => c.spec.image_gb / kind.fetch * MS_PER_S,
+            };
+            if fetch > limit
+                || kind.wasted_on(&c.spec) != c.only_wasteful
+                || !fits_rules(c, kind, &machine.zone, machine.spot)
+                || c.bad.contains(&machine.id)
+            {
+                continue;
+            }
+            let mut candidates: Vec<(u64, JobId, u32, Room)> = Vec::new();
+            let mut leaving = false;
+            for (id, task) in machine.tasks.keys() {
+                let Some(job) = self.leader.jobs.get(id) else { continue };
+                let Some(attempt) = job.attempts.get(task).filter(|a| a.occupies()) else {
+                    continue;
+                };
+                leaving |= attempt.stop.is_some();
+                if job.spec.priority < c.spec.priority && job.spec.kind == Kind::Array {
+                    let lost = attempt.ran_at.map_or(0, |at| now.saturating_sub(at));
+                    candidates.push((lost, id.clone(), *task, Room::of(&job.spec)));
+                }
+            }
+            // Room already being made on it is for another.
+            if leaving {
+                continue;
+            }
+            candidates.sort_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
+            let mut room = free_room(self.leader, machine, kind);
+            let (mut lost, mut chosen) = (0, Vec::new());
+            for (cost, id, task, each) in candidates {
+                if room.holds(&c.spec) {
+                    break;
+                }
+                room.give(&each);
+                lost += cost;
+                chosen.push((id, task));
+            }
+            let fits = room.holds(&c.spec) && !chosen.is_empty();
+            if fits && best.as_ref().is_none_or(|(f, l, _)| (fetch, lost) < (*f, *l)) {
+                best = Some((fetch, lost, chosen));
+            }
+        }
+        best.map(|(fetch, _, chosen)| (fetch, chosen))
+    }
+
     /// Each chooser picks its place of highest chance; the one of least completion time takes
     /// its own; until nobody finds a place. `passing`: only above the threshold. Otherwise those
     /// left take what nobody passing wanted, and plan rentals for what finds nothing.
