--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -12,6 +12,9 @@
 
 use super::lines::{Slot, give_back};
 
+/// Tasks of several jobs.
+type Tasks = Vec<(JobId, u32)>;
+
 /// What a place is.
 #[derive(Debug, Clone, PartialEq)]
 enum What {
@@ -569,10 +572,10 @@
 
     /// The tasks whose stop makes room for a service, and the fetch it then needs: least, and
     /// within `limit` ms; among equals, what loses the least work.
-    fn victims(&self, c: &Chooser, limit: f64) -> Option<(f64, Vec<(JobId, u32)>)> {
+    fn victims(&self, c: &Chooser, limit: f64) -> Option<(f64, Tasks)> {
         let now = self.ctx.now;
         let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
-        let mut best: Option<(f64, u64, Vec<(JobId, u32)>)> = None;
+        let mut best: Option<(f64, u64, Tasks)> = None;
         for machine in self.leader.machines.values().filter(|m| usable(m, now, lease)) {
             let Some(kind) = self.types.iter().find(|t| t.name == machine.kind) else { continue };
             let fetch = match machine.has_image(&c.spec.image) {
