--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -394,7 +394,10 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(attempt) = job.attempts.get(&task) else { return };
         let machine_id = attempt.machine.clone();
-        let ran = attempt.ran_at.map(|at| now.saturating_sub(at));
+        // Of an attempt that an earlier leader started only the later part was seen: its run time is
+        // not known, and a guess from it would make every such job look short.
+        let seen_whole = !attempt.old_term;
+        let ran = attempt.ran_at.filter(|_| seen_whole).map(|at| now.saturating_sub(at));
         self.stir = true;
         if cause == Cause::Done {
             job.touch(task, now, true);
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -122,7 +122,7 @@
 pub const QUIET_SHARE: f64 = 0.35;
 /// Share of `lease_s` after which a silent machine is returned: its own lease is then about to
 /// end its tasks anyway.
-pub const LOST_SHARE: f64 = 0.65;
+pub const LOST_SHARE: f64 = 0.95;
 /// Time beyond the lease that a new leader gives a machine with tasks that it never heard, ms.
 pub const LOST_EXTRA_MS: u64 = 2_000;
 /// Share of the machines that, silent at once, say that this controller or a zone is cut off and
