--- a/src/constants.rs
+++ b/src/constants.rs
@@ -144,7 +144,7 @@
 /// and by at least this much, ms.
 pub const BOOT_LATE_MS: u64 = 20_000;
 /// Time a machine without tasks is kept, ms: a machine returned costs 60 s at least.
-pub const IDLE_MS: u64 = 45_000;
+pub const IDLE_MS: u64 = 25_000;
 /// Errors of different jobs on one machine, without a success between, that make it suspect.
 pub const SUSPECT_JOBS: usize = 2;
 /// Machines on which a job must fail before the job itself is suspected.
