--- /dev/null
+++ b/tests/states.rs
@@ -0,0 +1,227 @@
+//! The state machines on generated histories: whatever happens, what must never happen does not.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use swiftsail::job::{Attempt, Chunk, Job, JobRecord, JobState, Kind, Priority, Spec, Stage};
+use swiftsail::machine::{Machine, Standing};
+use swiftsail::settings::Settings;
+use swiftsail::term::{Phase, Term, Voucher, may_answer};
+use swiftsail::wire::workers::Cause;
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]))
+}
+
+fn job(tasks: u32) -> Job {
+    let spec = Spec {
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: true,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: Some(60.0),
+    };
+    let record = JobRecord {
+        cancelled: false,
+        cancelled_wall: 0,
+        accepted_wall: 1_000,
+        chunk_tasks: 7,
+        nonce: 0,
+        spec,
+    };
+    Job::new("wk-1".into(), &record, 1, 1_000_000, 1_000)
+}
+
+const STAGES: [Stage; 7] = [
+    Stage::Bound,
+    Stage::Fetching,
+    Stage::Waiting,
+    Stage::Running,
+    Stage::Saving,
+    Stage::Exited(Cause::Done),
+    Stage::Exited(Cause::Error),
+];
+
+#[test]
+fn an_exited_attempt_never_comes_back() {
+    runner()
+        .run(&prop::collection::vec(0..STAGES.len(), 1..20), |steps| {
+            let mut attempt = Attempt::new(1, "m-1".into(), 1, 0);
+            let mut exited = None;
+            for (now, step) in steps.into_iter().enumerate() {
+                attempt.advance(STAGES[step], now as u64);
+                if let Some(stage) = exited {
+                    prop_assert_eq!(attempt.stage(), stage);
+                    prop_assert!(!attempt.occupies());
+                } else if let Stage::Exited(_) = attempt.stage() {
+                    exited = Some(attempt.stage());
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_job_never_goes_back_from_cancelled_or_closed() {
+    let states = [JobState::Live, JobState::Cancelling, JobState::Closing, JobState::Closed];
+    runner()
+        .run(&prop::collection::vec(0..4usize, 1..20), |steps| {
+            let mut job = job(3);
+            let (mut cancelled, mut closed) = (false, false);
+            for step in steps {
+                job.advance(states[step], 5);
+                prop_assert!(!cancelled || job.cancelled());
+                prop_assert!(!closed || job.state() == JobState::Closed);
+                cancelled |= job.cancelled();
+                closed |= job.state() == JobState::Closed;
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_task_is_waiting_bound_held_or_done_and_survives_a_new_leader() {
+    runner()
+        .run(&prop::collection::vec((0..20u32, 0..4u8), 0..60), |steps| {
+            let mut job = job(20);
+            for (n, (task, what)) in steps.into_iter().enumerate() {
+                match what {
+                    0 if job.waiting.remove(&task) => {
+                        let attempt = Attempt::new(n as u64 + 1, "m-1".into(), 1, 0);
+                        job.attempts.insert(task, attempt);
+                    }
+                    1 => drop(job.release(task, 0)),
+                    2 => job.hold(task, 0),
+                    3 if job.attempts.remove(&task).is_some() => drop(job.done.insert(task)),
+                    _ => {}
+                }
+                for t in 0..20 {
+                    let places = usize::from(job.waiting.contains(&t))
+                        + usize::from(job.held.contains_key(&t))
+                        + usize::from(job.attempts.contains_key(&t))
+                        + usize::from(job.done.contains(&t));
+                    prop_assert_eq!(places, 1, "task {}", t);
+                }
+            }
+            // What the store holds is enough for the next leader.
+            let mut next = self::job(20);
+            for chunk in 0..3 {
+                let text = serde_json::to_string(&job.chunk(chunk, 1)).expect("our own record");
+                let record: Chunk = serde_json::from_str(&text).expect("our own record");
+                next.restore(chunk, &record, 9, 0);
+            }
+            prop_assert_eq!(&next.done, &job.done);
+            let launches = |j: &Job| -> Vec<(u32, u64)> {
+                j.attempts.iter().map(|(t, a)| (*t, a.launch)).collect()
+            };
+            prop_assert_eq!(launches(&next), launches(&job));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_machine_being_returned_is_never_used_again() {
+    use Standing::*;
+    let all = [Expected, Greeted, Ready, Draining, Returning];
+    runner()
+        .run(&prop::collection::vec(0..5usize, 1..20), |steps| {
+            let mut machine = Machine::new("m-1".into(), 0);
+            let mut returning = false;
+            for step in steps {
+                machine.advance(all[step]);
+                prop_assert!(!returning || machine.standing() == Returning);
+                returning |= machine.standing() == Returning;
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn nobody_leads_under_a_token_that_is_not_the_highest_seen() {
+    runner()
+        .run(&prop::collection::vec((0..8u8, 1..50u64), 1..40), |steps| {
+            let mut term = Term::default();
+            for (what, n) in steps {
+                match what {
+                    0 => drop(term.advance(Phase::Vacant(n))),
+                    1 => drop(term.advance(Phase::Granting)),
+                    2 => drop(term.advance(Phase::Acquiring(n))),
+                    3 | 4 => {
+                        if matches!(term.phase(), Phase::Acquiring(_)) {
+                            term.token = n;
+                            if !term.advance(Phase::Loading) {
+                                term.advance(Phase::Unknown);
+                            }
+                        }
+                    }
+                    5 => drop(term.advance(Phase::Leading)),
+                    6 => term.held_by("other", term.highest.max(n)),
+                    _ => {
+                        if term.saw(n) {
+                            term.advance(Phase::Unknown);
+                        }
+                    }
+                }
+                if what != 6 {
+                    prop_assert!(!term.holds() || term.token >= term.highest);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_leader_without_the_store_falls_silent_unless_a_majority_is_without_it() {
+    let away = Voucher { heard: 99_000, store_age_ms: 30_000, token: 5 };
+    let there = Voucher { store_age_ms: 0, ..away };
+    let newer = Voucher { token: 6, ..away };
+    let stale = Voucher { heard: 90_000, ..away };
+    let may = |vouchers: &[Voucher]| may_answer(100_000, 5, 60_000, 20_000, vouchers, 3);
+    assert!(may_answer(100_000, 5, 85_000, 20_000, &[], 3), "the store answered lately");
+    assert!(may(&[away]), "two of three are without it");
+    for vouchers in [vec![], vec![there], vec![newer], vec![stale], vec![there, newer]] {
+        assert!(!may(&vouchers), "{vouchers:?}");
+    }
+}
+
+#[test]
+fn impossible_settings_are_refused_by_name() {
+    let sound = "host_name='n'\nfront='127.0.0.1:1'\ncluster_listen='127.0.0.1:2'\nnew=1\n\
+        [endpoints]\ncloud='127.0.0.1:3'\nstate='127.0.0.1:4'\n[settings]\n\
+        [settings.workers]\nreport_s=1.0\nlease_s=10.0\ngang_wait_s=9.0\ngang_peer_s=4.0\ncancel_s=35.0\n\
+        [settings.state]\nrps=9.0\nwrite_rps=9.0\nvalue_kb=8.0\ntxn_ops=16\n\
+        [settings.cloud]\nrps=2.0\nlist_lag_s=5.0\n\
+        [settings.machine_limits]\ncores=0.1\nmem_mb=40.0\nmax_connections=9\n";
+    Settings::parse("f", sound).expect("sound, with an unknown field");
+    let bad = [
+        ("lease_s=10.0", "lease_s=0.0", "lease_s"),
+        ("cancel_s=35.0", "cancel_s=9.0", "cancel_s"),
+        ("txn_ops=16", "txn_ops=1", "txn_ops"),
+        ("rps=2.0", "rps=nan", "cloud.rps"),
+        ("host_name='n'", "host_name=''", "host_name"),
+        ("front='127.0.0.1:1'", "", "front"),
+    ];
+    for (from, to, field) in bad {
+        let error = Settings::parse("f", &sound.replacen(from, to, 1)).expect_err(to).to_string();
+        assert!(error.contains(field) && error.contains('f'), "{error}");
+    }
+}
