--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -192,6 +192,7 @@
         lost(leader, ctx);
         idle(leader, ctx);
     }
+    drain(leader, ctx);
     let batch: Vec<MachineId> = leader.fleet.wanted.iter().take(RETURN_MOST).cloned().collect();
     if !batch.is_empty() {
         for id in &batch {
@@ -232,6 +233,32 @@
     if mass { MASS_PATIENCE } else { 1.0 }
 }
 
+/// A machine with a notice is emptied of what gains by it: replicas move at once, tasks that can
+/// save do so in time, gangs whole. A task that cannot save runs on, since it may still be done.
+fn drain(leader: &mut Leader, ctx: &Ctx) {
+    let now = ctx.now;
+    let report_ms = ctx.settings.settings.workers.report_s * MS_PER_S;
+    for machine in leader.machines.values() {
+        let Some(recall) = machine.recall_at else { continue };
+        for (id, task) in machine.tasks.keys() {
+            let Some(job) = leader.jobs.get_mut(id) else { continue };
+            let save_ms = (job.spec.save_s + EASE_EXTRA_S) * MS_PER_S + 2.0 * report_ms;
+            let due = match job.spec.kind {
+                Kind::Service => true,
+                _ => job.spec.checkpoint_s > 0.0 && (now as f64 + save_ms) >= recall as f64,
+            };
+            if !due {
+                continue;
+            }
+            let gang = job.spec.kind == Kind::Gang;
+            if let Some(attempt) = job.attempts.get_mut(task).filter(|a| a.occupies()) {
+                attempt.stop.get_or_insert((now, 0));
+                job.regroup |= gang;
+            }
+        }
+    }
+}
+
 /// Silent machines, boots that are far too late, machines about to be taken.
 fn lost(leader: &mut Leader, ctx: &mut Ctx) {
     let now = ctx.now;
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -452,6 +452,7 @@
             self.wake_follows();
         }
         let hang = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.0005);
+        let taken = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.002);
         let span = self.rng.random_range(2_000..15_000);
         let busy = self.workers.get(name).is_some_and(|w| !w.tasks.is_empty());
         let others = if busy { self.gathering() } else { Vec::new() };
@@ -459,6 +460,16 @@
         if hang {
             worker.hang_until = now + span;
         }
+        // Spot machines are taken, mostly with a notice.
+        if taken && worker.spot && worker.taken_at.is_none() {
+            worker.taken_at = Some(now + if hang { 0 } else { span });
+        }
+        if worker.taken_at.is_some_and(|at| now >= at) {
+            worker.gone = true;
+            worker.tasks.clear();
+            self.version += 1;
+            return;
+        }
         if worker.awake(now) {
             if worker.advance(now, &self.jobs, &others, &mut self.done_tasks, &mut self.started) {
                 self.version += 1;
@@ -671,7 +682,7 @@
         "rank": if shape == "service" { "production" } else { "standard" },
         "shards": shards, "cpus": cpus, "accelerators": 0.0, "memory_gb": 1.0,
         "bundle": "img", "pull_gb": 0.5, "hulls": null, "dock": null, "one_zone": shape == "gang",
-        "scatter": shape == "service", "driftwood": shape == "array",
+        "scatter": shape == "service", "driftwood": shape != "service" || id.ends_with('2'),
         "eta_s": eta_s, "mark_s": if shape == "gang" { 5.0 } else { 0.0 }, "stow_s": 1.0,
         "due_s": if shape == "array" { json!(eta_s * 4.0 + 60.0) } else { Value::Null }})
 }
--- a/tests/standin/outside.rs
+++ b/tests/standin/outside.rs
@@ -291,6 +291,7 @@
     pub up_at: u64,
     pub gone: bool,
     pub hang_until: u64,
+    pub taken_at: Option<u64>,
     watch: u64,
     tick: u64,
     helm: u64,
@@ -316,6 +317,7 @@
             up_at,
             gone: false,
             hang_until: 0,
+            taken_at: None,
             watch: 1,
             tick: 0,
             helm: 0,
@@ -333,7 +335,7 @@
         !self.gone && now >= self.up_at && now >= self.hang_until
     }
 
-    fn report(&mut self) -> Report {
+    fn report(&mut self, now: u64) -> Report {
         self.tick += 1;
         let shards = self.tasks.iter().map(|t| {
             let (status, cause) = match t.at {
@@ -353,7 +355,7 @@
             watch: self.watch,
             tick: self.tick,
             helm: self.helm,
-            recall_s: None,
+            recall_s: self.taken_at.map(|at| at.saturating_sub(now) as f64 / 1000.0),
             shards: shards.collect(),
         }
     }
@@ -374,7 +376,7 @@
         self.last_report = now;
         self.next_report = now + 1_000;
         self.changed = false;
-        Some((self.node, self.report()))
+        Some((self.node, self.report(now)))
     }
 
     pub fn unanswered(&mut self, sent: u64, now: u64) {
@@ -421,7 +423,7 @@
             self.helm = direct.helm;
             self.execute(&direct.orders, now, &[]);
         }
-        self.report()
+        self.report(now)
     }
 
     fn execute(&mut self, orders: &[Command], now: u64, jobs: &[UserJob]) {
