--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -92,7 +92,7 @@
     pub fn pump(&mut self, now: Time) -> Vec<Call> {
         let mut out = Vec::new();
         while !self.queue.is_empty()
-            && self.flying < 8
+            && self.flying < CLOUD_IN_FLIGHT_MOST
             && now >= self.paused_until
             && self.bucket.can(1.0, 0.0, now)
         {
--- a/src/cluster/actor.rs
+++ b/src/cluster/actor.rs
@@ -18,9 +18,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 
-/// Where the steady clock begins, ms: late enough to count back from.
-const STEADY_BEGIN_MS: u64 = 1_000_000_000;
-
 /// The one actor that owns the core.
 pub struct Controller {
     node: Node,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -716,7 +716,7 @@
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
         }
-        if self.loading.is_some() && self.held_reports.len() < 500 {
+        if self.loading.is_some() && self.held_reports.len() < HELD_REPORTS_MOST {
             self.held_reports.push((id, report, relayed));
             return;
         }
--- a/src/cluster/requests.rs
+++ b/src/cluster/requests.rs
@@ -45,9 +45,6 @@
     cancels: HashMap<JobId, Vec<(RequestId, u32)>>,
 }
 
-/// Conflicts after which a cancellation is given back to its user.
-const CANCEL_TRIES: u32 = 5;
-
 fn answer(id: &str, status: Status, counts: Option<(u32, u32)>) -> JobAnswer {
     JobAnswer {
         name_id: id.to_string(),
@@ -150,7 +147,7 @@
             return Some(problem(422, error.into()));
         }
         let count = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
-        let over = |limit: f64, each: f64| limit > 0.0 && each * count > limit + 1e-6;
+        let over = |limit: f64, each: f64| limit > 0.0 && each * count > limit + SLACK;
         if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
             let error = format!("the job needs more than the limit of team `{}`", spec.team);
             return Some(problem(422, error));
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -84,6 +84,16 @@
 pub const RELAY_MS: u64 = 30_000;
 /// Workers whose redirections are remembered (memory).
 pub const RELAYED_MOST: usize = 4_000;
+/// Calls to the cloud in flight at once (sockets).
+pub const CLOUD_IN_FLIGHT_MOST: usize = 8;
+/// Reports held while a new leader reads the store (memory).
+pub const HELD_REPORTS_MOST: usize = 500;
+/// Conflicts after which a cancellation is given back to its user.
+pub const CANCEL_TRIES: u32 = 5;
+/// Time after which a client that sends nothing on an open connection is let go, s.
+pub const KEEP_ALIVE_S: u64 = 75;
+/// Where the steady clock of a process begins, ms: late enough to count back from.
+pub const STEADY_BEGIN_MS: u64 = 1_000_000_000;
 /// Connections one HTTP listener keeps waiting to be accepted.
 pub const BACKLOG: u32 = 256;
 
@@ -153,6 +163,18 @@
 pub const NO_CAPACITY_MS: u64 = 8_000;
 /// Longest such pause, ms.
 pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
+/// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
+pub const RENT_WAIT_MS: f64 = 120_000.0;
+/// A machine that should be up by now is planned to be so after this, ms.
+pub const SOON_MS: f64 = 2_000.0;
+/// Boot time taken for a machine of an unknown type, ms.
+pub const BOOT_UNKNOWN_MS: f64 = 60_000.0;
+/// Slack for sums of decimal amounts, in their own unit.
+pub const SLACK: f64 = 1e-6;
+/// Names of returned machines remembered, so that an old list does not bring them back (memory).
+pub const RETURNED_MOST: usize = 2_000;
+/// Rentals of one type, zone and kind that wait for an answer at once.
+pub const RENTALS_OPEN_MOST: usize = 3;
 /// Machines remembered as bad for a job.
 pub const BAD_MACHINES_MOST: usize = 16;
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,9 +23,6 @@
     pub number: u32,
 }
 
-/// Names of returned machines remembered, so that an old list does not bring them back.
-const RETURNED_MOST: usize = 2_000;
-
 /// Rentals and returns under way.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -63,7 +60,8 @@
         let key = (kind.to_string(), zone.to_string(), spot);
         let waiting =
             self.asked.values().filter(|(w, _)| w.kind == kind && w.zone == zone && w.spot == spot);
-        waiting.count() < 3 && self.refused.get(&key).is_none_or(|(until, _)| now >= *until)
+        waiting.count() < RENTALS_OPEN_MOST
+            && self.refused.get(&key).is_none_or(|(until, _)| now >= *until)
     }
 
     /// Asks for machines. A request's name comes from the token and a counter: no node reuses it.
@@ -284,7 +282,7 @@
                 }
             }
             None => {
-                let boot = kind.map_or(60.0 * MS_PER_S, |t| t.boot_ms);
+                let boot = kind.map_or(BOOT_UNKNOWN_MS, |t| t.boot_ms);
                 let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
                 let bound = !machine.tasks.is_empty();
                 let limit = if bound { limit.max(lease_ms as u64 + LOST_EXTRA_MS) } else { late };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,9 +12,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time after which a client that sends nothing on an open connection is let go.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
-
 fn respond(reply: Reply) -> HttpResponse {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
@@ -126,7 +123,7 @@
     .workers(1)
     .max_connections(sockets * 3 / 4)
     .backlog(BACKLOG)
-    .keep_alive(KEEP_ALIVE)
+    .keep_alive(Duration::from_secs(KEEP_ALIVE_S))
     .disable_signals()
     .bind(&both[..])?;
     server.run().await
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -84,9 +84,6 @@
     pub memory_gb: f64,
 }
 
-/// Slack for sums of decimal amounts.
-const SLACK: f64 = 1e-6;
-
 impl Room {
     /// What one task takes.
     pub fn of(spec: &Spec) -> Room {
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -359,7 +359,7 @@
             if fresh {
                 let waits = matches!(machine.standing(), Standing::Expected | Standing::Greeted);
                 if self.full && waits && machine.tasks.is_empty() {
-                    let up = (machine.rented_at as f64 + t.boot_ms).max(now as f64 + 2000.0);
+                    let up = (machine.rented_at as f64 + t.boot_ms).max(now as f64 + SOON_MS);
                     self.places.push(place(What::Boot, t.room(), Pmf::at(up)));
                 }
                 continue;
@@ -504,7 +504,7 @@
         let within = |c: &Chooser, me: &Self| {
             let team = me.ctx.settings.team(&c.spec.team);
             let used = me.usage.get(&c.spec.team).copied().unwrap_or_default();
-            team.is_some_and(|t| used.cpus + c.spec.cpus <= t.cpus + 1e-6)
+            team.is_some_and(|t| used.cpus + c.spec.cpus <= t.cpus + SLACK)
         };
         let mut levels: BTreeMap<(std::cmp::Reverse<Priority>, bool), Vec<Chooser>> =
             BTreeMap::new();
@@ -783,7 +783,7 @@
                     }
                     let cost = t.cost(spot) / f64::from(fits.min(demand));
                     // A second of waiting for work to start weighs like a little money.
-                    let cost = cost * (1.0 + (t.boot_ms + fetch) / (120.0 * MS_PER_S));
+                    let cost = cost * (1.0 + (t.boot_ms + fetch) / RENT_WAIT_MS);
                     if best.as_ref().is_none_or(|(b, _)| cost < *b) {
                         let place = Place {
                             what: What::Rental,
@@ -814,8 +814,8 @@
     fn within_limit(&self, spec: &Spec) -> bool {
         let Some(team) = self.ctx.settings.team(&spec.team) else { return false };
         let used = self.usage.get(&spec.team).copied().unwrap_or_default();
-        (team.cpus_max <= 0.0 || used.cpus + spec.cpus <= team.cpus_max + 1e-6)
-            && (team.gpus_max <= 0.0 || used.gpus + spec.gpus <= team.gpus_max + 1e-6)
+        (team.cpus_max <= 0.0 || used.cpus + spec.cpus <= team.cpus_max + SLACK)
+            && (team.gpus_max <= 0.0 || used.gpus + spec.gpus <= team.gpus_max + SLACK)
     }
 
     fn allowed(&self, id: &JobId, kind: &str, zone: &str, spot: bool, machine: &MachineId) -> bool {
