A gang is planned in an empty cluster too, and starts only once it is bound whole

Found by a test of a gang of 700 tasks: zones were taken from machines at hand, so a gang bound to one zone got no machine while there were none; and a gang larger than a transaction was offered in parts.

--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -368,7 +368,7 @@
         }
         for ((job_id, task), launch) in &machine.tasks {
             let Some(job) = self.jobs.get_mut(job_id) else { continue };
-            if job.cancelled() || job.regroup {
+            if job.cancelled() || job.regroup || !whole(job) {
                 continue;
             }
             let Some(attempt) = job.attempts.get_mut(task).filter(|a| a.launch == *launch) else {
@@ -818,6 +818,14 @@
     Command { verb, shard: join_task(job, task), launch, ease_s }
 }
 
+/// Whether a job's starts may be offered: of a gang, once all of it is bound. A gang larger than
+/// one transaction is committed in parts, and a part alone would only wait in vain.
+fn whole(job: &Job) -> bool {
+    job.spec.kind != Kind::Gang
+        || job.attempts.len() + job.done.len() == job.spec.tasks as usize
+            && job.attempts.values().all(|a| a.stage() != Stage::Committing)
+}
+
 /// Grace of a stop: time to save, unless nobody wants what would be saved.
 fn ease_of(job: &Job) -> f64 {
     if job.cancelled() || job.spec.checkpoint_s <= 0.0 {
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -914,7 +914,10 @@
             return;
         }
         let zones: Vec<Option<String>> = if c.spec.one_zone {
-            let zones: HashSet<&String> = self.places.iter().map(|p| &p.zone).collect();
+            // Zones without any machine count too, or a gang would wait for ever in an empty cluster.
+            let rentable = self.types.iter().flat_map(|t| &t.zones);
+            let zones: HashSet<&String> =
+                self.places.iter().map(|p| &p.zone).chain(rentable).collect();
             let mut zones: Vec<String> = zones.into_iter().cloned().collect();
             zones.sort();
             zones.into_iter().map(Some).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -66,3 +66,15 @@
     world.check();
     assert!(world.broken.iter().any(|b| b.starts_with("ran_twice")), "{:?}", world.broken);
 }
+
+#[test]
+fn a_gang_larger_than_a_transaction_starts_whole() {
+    let mut world = World::new(5, CALM, 1_000);
+    let mut gang = job("wk-g1", "gang", "blue", 700, 0.05, 4.0);
+    gang["memory_gb"] = 0.05.into();
+    world.submit(500, None, gang);
+    world.run(90_000);
+    assert_over(&world, "large gang");
+    assert!(world.store.largest_txn <= 64 * 1024, "transaction of {}", world.store.largest_txn);
+    assert!(world.store.largest_value <= 8 * 1024);
+}
