--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -854,11 +854,6 @@
     fn chunk_tasks(&self) -> u32 {
         chunk_size(&self.settings.settings.state)
     }
-
-    /// The other controllers that say they lead, for the operators' view.
-    pub fn claimants(&self) -> Vec<&str> {
-        self.peers.iter().filter(|(_, p)| p.leads).map(|(n, _)| n.as_str()).collect()
-    }
 }
 
 /// Requests and writes a second for a node: together the nodes stay within the limits.
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -168,8 +168,6 @@
     pub tasks: BTreeMap<(JobId, u32), u64>,
     /// Attempts reported that no table knows; they take room until a report lacks them.
     pub strays: BTreeMap<(JobId, u32, u64), Option<Room>>,
-    /// Attempts to be forgotten.
-    pub reaps: BTreeSet<(JobId, u32, u64)>,
     /// Images taken to be in its cache, latest last, with sizes.
     pub images: VecDeque<(String, f64)>,
     /// Since when it has had no task.
@@ -199,7 +197,6 @@
             listed: None,
             tasks: BTreeMap::new(),
             strays: BTreeMap::new(),
-            reaps: BTreeSet::new(),
             images: VecDeque::new(),
             idle_since: now,
             errors: BTreeSet::new(),
