--- a/src/chance/history.rs
+++ b/src/chance/history.rs
@@ -41,9 +41,14 @@
         self.cached.get(machine_type)
     }
 
-    fn compute(&self, machine_type: &str, estimate_s: f64) -> Pmf {
+    /// The run time before anything is known but the estimate.
+    pub fn prior(estimate_s: f64) -> Pmf {
         let estimate = estimate_s * MS_PER_S;
-        let prior = Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH);
+        Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH)
+    }
+
+    fn compute(&self, machine_type: &str, estimate_s: f64) -> Pmf {
+        let prior = History::prior(estimate_s);
         let seen = self.by_type.get(machine_type).filter(|h| !h.is_empty());
         // Types differ little in speed: without a finish on this one, another's serve.
         let Some(seen) = seen.or_else(|| self.by_type.values().max_by_key(|h| h.len())) else {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,8 +7,10 @@
 use crate::wire::users::Problem;
 use crate::wire::{controllers, read, users, workers, write};
 use actix::Addr;
+use actix_web::dev::Payload;
+use actix_web::error::InternalError;
 use actix_web::http::StatusCode;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{App, FromRequest, HttpRequest, HttpResponse, HttpServer, web};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -66,28 +68,31 @@
     }
 }
 
-async fn relay(
-    to: Node,
-    own: web::Data<SocketAddr>,
-    request: HttpRequest,
-    body: Body,
-) -> HttpResponse {
-    if request.app_config().local_addr() != **own {
-        return HttpResponse::NotFound().finish();
+/// Taken by what only controllers may ask. Users reach the front alone, so the listener tells who
+/// may speak for the controllers; elsewhere there is no such path.
+struct FromController;
+
+impl FromRequest for FromController {
+    type Error = actix_web::Error;
+    type Future = std::future::Ready<Result<Self, Self::Error>>;
+
+    fn from_request(request: &HttpRequest, _: &mut Payload) -> Self::Future {
+        let own = request.app_data::<web::Data<SocketAddr>>();
+        let here = own.is_some_and(|own| request.app_config().local_addr() == ***own);
+        std::future::ready(if here {
+            Ok(FromController)
+        } else {
+            let absent = HttpResponse::NotFound().finish();
+            Err(InternalError::from_response("not a controllers' listener", absent).into())
+        })
     }
+}
+
+async fn relay(_: FromController, to: Node, body: Body) -> HttpResponse {
     take_report(to, body, true).await
 }
 
-async fn beat(
-    to: Node,
-    own: web::Data<SocketAddr>,
-    request: HttpRequest,
-    body: Body,
-) -> HttpResponse {
-    // Users reach the front alone; who may speak for the controllers is told by the listener.
-    if request.app_config().local_addr() != **own {
-        return HttpResponse::NotFound().finish();
-    }
+async fn beat(_: FromController, to: Node, body: Body) -> HttpResponse {
     let Some(theirs) = body.ok().and_then(|b| read::<controllers::Beat>(&b).ok()) else {
         return HttpResponse::BadRequest().finish();
     };
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -62,6 +62,11 @@
         self.gpus > 0.0 && spec.gpus <= 0.0
     }
 
+    /// Time to fetch a job's image, ms.
+    pub fn fetch_ms(&self, spec: &Spec) -> f64 {
+        spec.image_gb / self.fetch * MS_PER_S
+    }
+
     /// All its room.
     pub fn room(&self) -> Room {
         Room { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -1,6 +1,6 @@
 //! One mapping event: drop what is overdue, prune lines, let tasks choose, fill machines.
 
-use crate::chance::Pmf;
+use crate::chance::{History, Pmf};
 use crate::cluster::Ctx;
 use crate::cluster::leader::Leader;
 use crate::constants::*;
@@ -580,7 +580,7 @@
             let Some(kind) = self.types.iter().find(|t| t.name == machine.kind) else { continue };
             let fetch = match machine.has_image(&c.spec.image) {
                 true => 0.0,
-                false => c.spec.image_gb / kind.fetch * MS_PER_S,
+                false => kind.fetch_ms(&c.spec),
             };
             if fetch > limit
                 || kind.wasted_on(&c.spec) != c.only_wasteful
@@ -704,11 +704,7 @@
         if matches!(place.what, What::Line(_)) && (c.spec.kind == Kind::Service || c.overdue) {
             return None;
         }
-        let fetch = if place.images.contains(&c.spec.image) {
-            0.0
-        } else {
-            c.spec.image_gb / t.fetch * MS_PER_S
-        };
+        let fetch = if place.images.contains(&c.spec.image) { 0.0 } else { t.fetch_ms(&c.spec) };
         if c.spec.kind == Kind::Service {
             return Some(Score { chance: 1.0, mean: place.before.mean() + fetch });
         }
@@ -747,7 +743,7 @@
             && matches!(self.places[i].what, What::Line(_))
             && self.pick_rental(c, true).is_some_and(|p| {
                 let t = &self.types[p.kind];
-                let fetch = c.spec.image_gb / t.fetch * MS_PER_S;
+                let fetch = t.fetch_ms(&c.spec);
                 p.before.mean() + fetch + self.run_guess(c, &t.name).mean() < score.mean
             })
         {
@@ -774,7 +770,7 @@
                         continue;
                     }
                     let before = Pmf::at(now as f64 + t.boot_ms);
-                    let fetch = c.spec.image_gb / t.fetch * MS_PER_S;
+                    let fetch = t.fetch_ms(&c.spec);
                     if passing && let Some(due) = c.due {
                         let end = before.convolve(&self.run_guess(c, &t.name)).later(fetch);
                         if end.chance(due as f64) <= THRESHOLD {
@@ -806,9 +802,8 @@
 
     /// The run time of a chooser's task on a type, as last computed or before anything is known.
     fn run_guess(&self, c: &Chooser, kind: &str) -> Pmf {
-        let estimate = c.spec.estimate_s * MS_PER_S;
         let learnt = self.leader.history.get(&c.id).and_then(|h| h.known(kind));
-        learnt.cloned().unwrap_or_else(|| Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH))
+        learnt.cloned().unwrap_or_else(|| History::prior(c.spec.estimate_s))
     }
 
     fn within_limit(&self, spec: &Spec) -> bool {
