Passes cost what has changed: rooms counted on change, alike ends shared, places on heaps

Cause: nine tenths of the leader's processor time went into Round::map, which scored every place for every job after every task taken. Places now share mass functions of alike ends, each job keeps its places on a heap, free room is counted only on machines whose work changed.

--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -142,7 +142,7 @@
                     .machines
                     .entry(attempt.machine.clone())
                     .or_insert_with(|| Machine::new(attempt.machine.clone(), now));
-                machine.tasks.insert((id.clone(), *task), attempt.launch);
+                machine.hold(id, *task, attempt.launch);
             }
         }
     }
@@ -246,6 +246,11 @@
                 let stage = stage_of(shard);
                 let image = (job.spec.image.clone(), job.spec.image_gb);
                 if attempt.advance(stage, ctx.now) {
+                    if matches!(stage, Stage::Exited(_))
+                        && let Some(m) = self.machines.get_mut(id)
+                    {
+                        m.recount();
+                    }
                     if stage == Stage::Running {
                         let waited_ms = ctx.now.saturating_sub(job.known_at);
                         let bound_ms = ctx.now.saturating_sub(attempt.since);
@@ -303,7 +308,10 @@
         ctx: &mut Ctx,
     ) {
         let Some(machine) = self.machines.get_mut(id) else { return };
-        machine.strays.retain(|key, _| listed.contains_key(key));
+        if !machine.strays.is_empty() {
+            machine.strays.retain(|key, _| listed.contains_key(key));
+            machine.recount();
+        }
         for ((job_id, task, launch), shard) in listed {
             let key = (job_id.clone(), *task);
             if machine.tasks.get(&key) == Some(launch) || shard.status == Phase::Exited {
@@ -328,10 +336,11 @@
                 attempt.advance(stage_of(shard), ctx.now);
                 job.attempts.insert(*task, attempt);
                 job.touch(*task, ctx.now, true);
-                machine.tasks.insert(key, *launch);
+                machine.hold(job_id, *task, *launch);
                 continue;
             }
             machine.strays.insert((job_id.clone(), *task, *launch), room);
+            machine.recount();
         }
     }
 
@@ -441,10 +450,7 @@
         if let Some(attempt) = job.release(task, now)
             && let Some(machine) = self.machines.get_mut(&attempt.machine)
         {
-            machine.tasks.remove(&(id.clone(), task));
-            if machine.tasks.is_empty() {
-                machine.idle_since = now;
-            }
+            machine.let_go(id, task, now);
         }
         self.stir = true;
     }
@@ -742,10 +748,7 @@
                 job.done.insert(task);
                 job.failures.remove(&task);
                 if let Some(machine) = self.machines.get_mut(&attempt.machine) {
-                    machine.tasks.remove(&(id.clone(), task));
-                    if machine.tasks.is_empty() {
-                        machine.idle_since = now;
-                    }
+                    machine.let_go(id, task, now);
                 }
             }
         }
@@ -759,10 +762,7 @@
         let Some(job) = self.jobs.remove(id) else { return };
         for (task, attempt) in &job.attempts {
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
-                machine.tasks.remove(&(id.clone(), *task));
-                if machine.tasks.is_empty() {
-                    machine.idle_since = ctx.now;
-                }
+                machine.let_go(id, *task, ctx.now);
             }
         }
         self.lines.drop_job(id);
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -155,6 +155,8 @@
 pub const BOOT_LATE_MS: u64 = 20_000;
 /// Time a machine without tasks is kept, ms: a machine returned costs 60 s at least.
 pub const IDLE_MS: u64 = 25_000;
+/// Time between looks for idle machines, ms (processor).
+pub const IDLE_CHECK_MS: u64 = 1_000;
 /// Errors of different jobs on one machine, without a success between, that make it suspect.
 pub const SUSPECT_JOBS: usize = 2;
 /// Machines on which a job must fail before the job itself is suspected.
@@ -216,5 +218,10 @@
 pub const PREEMPT_REPORTS: f64 = 2.0;
 /// Time a service waits for room made for it, ms, before it takes any other.
 pub const PREEMPT_WAIT_MS: u64 = 9_000;
-/// Jobs placed in one pass at most (processor).
+/// Jobs of one level placed in one pass at most (processor).
 pub const PASS_JOBS: usize = 200;
+/// Tasks bound in one pass at most; the next goes on (processor).
+pub const PASS_BINDS: usize = 300;
+/// Heads that began within one such step end alike in a round's arithmetic, ms: the round's own
+/// period, so that slots share their mass functions.
+pub const END_STEP_MS: f64 = 2_000.0;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,9 +4,9 @@
 use crate::cluster::Ctx;
 use crate::cluster::leader::Leader;
 use crate::constants::*;
-use crate::job::{Kind, MachineId, Time};
+use crate::job::{Job, Kind, MachineId, Time};
 use crate::machine::{Machine, Standing};
-use crate::placement::reserve_needs;
+use crate::placement::Reserve;
 use crate::wire::cloud::Rent;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -35,6 +35,7 @@
     /// Keys of bindings whose job is over, to be removed.
     pub left_over: Vec<String>,
     listed_at: Time,
+    idle_at: Time,
     typed_at: Time,
     listing: bool,
 }
@@ -118,6 +119,7 @@
                 let machine =
                     leader.machines.entry(id.clone()).or_insert_with(|| Machine::new(id, now));
                 if machine.heard.is_none() {
+                    machine.recount();
                     machine.kind.clone_from(&wish.kind);
                     machine.zone.clone_from(&wish.zone);
                     machine.spot = wish.spot;
@@ -296,55 +298,46 @@
     }
 }
 
-/// Machines without work are returned after a while, suspects as soon as they are empty.
+/// Machines without work are returned after a while, suspects as soon as they are empty. What work
+/// that waits could use is kept, and so is the reserve for services.
 fn idle(leader: &mut Leader, ctx: &mut Ctx) {
     let now = ctx.now;
     let Some(types) = ctx.types.clone() else { return };
-    if leader
-        .jobs
-        .values()
-        .any(|j| !j.waiting.is_empty() && j.spec.kind != Kind::Service && !j.cancelled())
-    {
-        // Work waits: nothing that could serve it is sent away.
-        let fits = |m: &Machine| {
-            types.iter().find(|t| t.name == m.kind).is_some_and(|t| {
-                leader.jobs.values().any(|j| {
-                    !j.waiting.is_empty()
-                        && t.allows(&j.spec)
-                        && !t.wasted_on(&j.spec)
-                        && (!m.spot || j.spec.spot)
-                })
-            })
-        };
-        let keep: BTreeSet<MachineId> =
-            leader.machines.values().filter(|m| fits(m)).map(|m| m.id.clone()).collect();
-        return return_idle(leader, ctx, &keep, now, &types);
+    if now < leader.fleet.idle_at + IDLE_CHECK_MS {
+        return;
     }
-    return_idle(leader, ctx, &BTreeSet::new(), now, &types);
-}
-
-fn return_idle(
-    leader: &mut Leader,
-    _ctx: &mut Ctx,
-    keep: &BTreeSet<MachineId>,
-    now: Time,
-    types: &[crate::machine::MachineType],
-) {
-    let empty: Vec<(MachineId, bool)> = leader
+    leader.fleet.idle_at = now;
+    let empty: Vec<MachineId> = leader
         .machines
         .values()
         .filter(|m| m.standing() == Standing::Ready && m.tasks.is_empty() && m.strays.is_empty())
         .filter(|m| m.suspect || now >= m.idle_since + IDLE_MS)
-        .map(|m| (m.id.clone(), m.suspect))
+        .map(|m| m.id.clone())
         .collect();
-    for (id, suspect) in empty {
-        if !suspect && (keep.contains(&id) || reserve_needs(leader, types, Some(&id)) > 0) {
-            continue;
-        }
-        if let Some(machine) = leader.machines.get_mut(&id) {
-            leader
-                .fleet
-                .want_return(machine, if suspect { "it is suspected" } else { "it is idle" });
+    if empty.is_empty() {
+        return;
+    }
+    let waiting: Vec<&Job> = leader.jobs.values().filter(|j| !j.waiting.is_empty()).collect();
+    let waits = waiting.iter().any(|j| j.spec.kind != Kind::Service && !j.cancelled());
+    let wanted: Vec<[bool; 2]> = types
+        .iter()
+        .map(|t| {
+            let fits = |spot: bool| {
+                let may = |j: &&Job| t.allows(&j.spec) && !t.wasted_on(&j.spec);
+                waits && waiting.iter().any(|j| may(j) && (!spot || j.spec.spot))
+            };
+            [fits(false), fits(true)]
+        })
+        .collect();
+    let mut reserve = Reserve::count(leader, &types);
+    for id in empty {
+        let Some(machine) = leader.machines.get_mut(&id) else { continue };
+        let kind = types.iter().position(|t| t.name == machine.kind);
+        let wanted = kind.is_some_and(|k| wanted[k][usize::from(machine.spot)]);
+        if machine.suspect {
+            leader.fleet.want_return(machine, "it is suspected");
+        } else if !wanted && !reserve.needs(machine, &types) {
+            leader.fleet.want_return(machine, "it is idle");
         }
     }
 }
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -181,6 +181,8 @@
     pub errors: BTreeSet<JobId>,
     /// Why it is suspected.
     pub suspect: bool,
+    /// Room left by what is on it; forgotten by whatever changes it, recounted when next asked.
+    free: Option<Room>,
 }
 
 impl Machine {
@@ -206,6 +208,37 @@
             idle_since: now,
             errors: BTreeSet::new(),
             suspect: false,
+            free: None,
+        }
+    }
+
+    /// Room left, if nothing has changed since it was counted.
+    pub fn free(&self) -> Option<Room> {
+        self.free
+    }
+
+    /// Notes the room left.
+    pub fn counted(&mut self, free: Room) {
+        self.free = Some(free);
+    }
+
+    /// What it holds has changed: its room must be counted anew.
+    pub fn recount(&mut self) {
+        self.free = None;
+    }
+
+    /// An attempt is bound to it.
+    pub fn hold(&mut self, job: &JobId, task: u32, launch: u64) {
+        self.tasks.insert((job.clone(), task), launch);
+        self.free = None;
+    }
+
+    /// An attempt bound to it is gone.
+    pub fn let_go(&mut self, job: &JobId, task: u32, now: Time) {
+        self.tasks.remove(&(job.clone(), task));
+        self.free = None;
+        if self.tasks.is_empty() {
+            self.idle_since = now;
         }
     }
 
@@ -234,6 +267,7 @@
     pub fn describe(&mut self, listed: &Listed, now: Time) {
         self.listed = Some(now);
         if self.heard.is_none() {
+            self.free = None;
             self.kind.clone_from(&listed.hull);
             self.zone.clone_from(&listed.dock);
             self.spot = listed.driftwood;
@@ -246,6 +280,7 @@
     pub fn greet(&mut self, report: &Report, now: Time) {
         if self.kind != report.hull {
             self.kind.clone_from(&report.hull);
+            self.free = None;
         }
         if self.zone != report.dock {
             self.zone.clone_from(&report.dock);
--- /dev/null
+++ b/src/placement/chooser.rs
@@ -0,0 +1,304 @@
+//! Choosers: jobs with tasks to place, and the mapping of their tasks to places.
+
+use super::ends::EndId;
+use super::places::{Place, What};
+use super::round::Round;
+use crate::constants::*;
+use crate::job::*;
+use crate::machine::Room;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+
+/// Chance and completion of a task at a place.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Score {
+    pub chance: f64,
+    pub mean: f64,
+}
+
+/// Order of places for a chooser: highest chance, then soonest, then the fullest machine, so that
+/// others can be returned.
+type Rank = Reverse<(i64, i64, i64, usize)>;
+
+/// A job that has tasks to place.
+pub(super) struct Chooser {
+    pub id: JobId,
+    pub spec: Arc<Spec>,
+    pub due: Option<Time>,
+    pub overdue: bool,
+    pub left: u32,
+    pub bad: Vec<MachineId>,
+    /// Number of its team in the settings.
+    pub team: Option<usize>,
+    /// The only zone that its gang may still use.
+    pub zone: Option<usize>,
+    /// Tasks not proved gone in each zone; those of unknown zone count in all.
+    pub in_zone: Vec<u32>,
+    pub unplaced: u32,
+    /// Machine types that it may use.
+    pub kinds: Vec<bool>,
+    /// Number of its image.
+    pub image: u32,
+    /// Whether a machine of a type rented now would pass, once computed.
+    pub passes: Vec<Option<bool>>,
+    heap: BinaryHeap<(Rank, EndId)>,
+    known: usize,
+    lines: bool,
+    scores: HashMap<(EndId, bool), Score>,
+}
+
+impl Chooser {
+    /// Begins a new search. `lines`: places in lines count too.
+    pub fn search(&mut self, lines: bool) {
+        self.heap.clear();
+        self.known = 0;
+        self.lines = lines && self.spec.kind != Kind::Service && !self.overdue;
+    }
+
+    /// Tasks of it that are in a zone or could be.
+    pub fn there(&self, zone: usize) -> u32 {
+        self.in_zone.get(zone).copied().unwrap_or(0) + self.unplaced
+    }
+
+    /// One more task of it is in a zone.
+    pub fn enter(&mut self, zone: usize) {
+        if self.in_zone.len() <= zone {
+            self.in_zone.resize(zone + 1, 0);
+        }
+        self.in_zone[zone] += 1;
+    }
+
+    /// Type, zone, kind, and the zones of the job's other tasks.
+    pub fn may_use(&self, kind: usize, zone: usize, spot: bool, zones: &[String]) -> bool {
+        let spec = &self.spec;
+        let elsewhere = || {
+            self.unplaced > 0 || self.in_zone.iter().enumerate().any(|(z, n)| *n > 0 && z != zone)
+        };
+        (!spot || spec.spot)
+            && self.kinds.get(kind).copied().unwrap_or(false)
+            && spec.zone.as_ref().is_none_or(|z| zones.get(zone) == Some(z))
+            && self.zone.is_none_or(|z| z == zone)
+            && (!spec.spread || self.there(zone) < spec.zone_cap())
+            && (!spec.one_zone || !elsewhere())
+    }
+}
+
+impl Round<'_, '_> {
+    /// A job as a chooser.
+    pub fn chooser(&mut self, id: &JobId) -> Option<Chooser> {
+        let job = self.leader.jobs.get(id)?;
+        let spec = job.spec.clone();
+        let mut c = Chooser {
+            id: id.clone(),
+            due: job.due,
+            overdue: job.missed,
+            left: (job.waiting.len() as u32).saturating_sub(job.lined),
+            bad: job.bad_machines.iter().cloned().collect(),
+            team: self.ctx.settings.settings.teams.iter().position(|t| t.name == spec.team),
+            zone: None,
+            in_zone: Vec::new(),
+            unplaced: 0,
+            kinds: Vec::new(),
+            image: self.images.number(&spec.image),
+            passes: vec![None; self.types.len()],
+            heap: BinaryHeap::new(),
+            known: 0,
+            lines: false,
+            scores: HashMap::new(),
+            spec,
+        };
+        let allowed: Vec<bool> = self.types.iter().map(|t| t.allows(&c.spec)).collect();
+        // Every type that the job allows has accelerators that it does not need, or only the
+        // others count.
+        let mut both = allowed.iter().zip(self.types.iter());
+        let only_wasteful = !both.any(|(a, t)| *a && !t.wasted_on(&c.spec));
+        c.kinds = allowed
+            .iter()
+            .zip(self.types.iter())
+            .map(|(a, t)| *a && t.wasted_on(&c.spec) == only_wasteful)
+            .collect();
+        if c.spec.spread || c.spec.one_zone {
+            let held = job.attempts.values().filter(|a| a.occupies());
+            let zones: Vec<Option<String>> = held
+                .map(|a| self.leader.machines.get(&a.machine).map(|m| m.zone.clone()))
+                .collect();
+            for zone in zones {
+                // A machine whose zone is not known could be in any: it counts in all.
+                match zone.filter(|z| !z.is_empty()) {
+                    Some(zone) => {
+                        let number = self.zone_number(&zone);
+                        c.enter(number);
+                    }
+                    None => c.unplaced += 1,
+                }
+            }
+        }
+        Some(c)
+    }
+
+    /// Whether a chooser's next task may go to a place.
+    pub fn suits(&self, c: &Chooser, place: &Place) -> bool {
+        let mut room = place.room;
+        if c.spec.kind != Kind::Service {
+            room.take(&place.kept);
+        }
+        room.holds(&c.spec)
+            && c.may_use(place.kind, place.zone, place.spot, &self.zones)
+            && (c.lines || !matches!(place.what, What::Line(_)))
+            && (c.bad.is_empty() || place.machine.as_ref().is_none_or(|m| !c.bad.contains(m)))
+    }
+
+    /// Chance and completion of a chooser's next task at a place.
+    fn score(&mut self, c: &mut Chooser, index: usize) -> Score {
+        let place = &self.places[index];
+        let (end, kind) = (place.end, place.kind);
+        let here = place.images.contains(&c.image);
+        if let Some(score) = c.scores.get(&(end, here)) {
+            return *score;
+        }
+        let t = &self.types[kind];
+        let fetch = if here { 0.0 } else { t.fetch_ms(&c.spec) };
+        let before = self.ends.get(end);
+        let score = if c.spec.kind == Kind::Service {
+            Score { chance: 1.0, mean: before.mean() + fetch }
+        } else {
+            let history = self.leader.history.entry(c.id.clone()).or_default();
+            let run = history.run_time(&t.name, c.spec.estimate_s);
+            let end = before.convolve(run).later(fetch);
+            Score { chance: c.due.map_or(1.0, |d| end.chance(d as f64)), mean: end.mean() }
+        };
+        c.scores.insert((end, here), score);
+        score
+    }
+
+    fn rank(&mut self, c: &mut Chooser, index: usize) -> (Rank, EndId) {
+        let score = self.score(c, index);
+        let place = &self.places[index];
+        let chance = -(score.chance * 50.0).round() as i64;
+        let mean = (score.mean / MS_PER_S).round() as i64;
+        (Reverse((chance, mean, (place.room.cpus * 1e3) as i64, index)), place.end)
+    }
+
+    /// The best place for a chooser's next task, if any suits. Places only get fuller and later
+    /// within a round, so the order of the heap stays a lower bound.
+    pub fn best(&mut self, c: &mut Chooser) -> Option<(usize, Score)> {
+        while c.known < self.places.len() {
+            let index = c.known;
+            c.known += 1;
+            if self.suits(c, &self.places[index]) {
+                let entry = self.rank(c, index);
+                c.heap.push(entry);
+            }
+        }
+        loop {
+            let &(Reverse((_, _, _, index)), end) = c.heap.peek()?;
+            if !self.suits(c, &self.places[index]) {
+                c.heap.pop();
+            } else if self.places[index].end != end {
+                // Another has joined that line since.
+                c.heap.pop();
+                let entry = self.rank(c, index);
+                c.heap.push(entry);
+            } else {
+                return Some((index, self.score(c, index)));
+            }
+        }
+    }
+
+    /// The best place above the threshold; without `passing`, the best.
+    fn pick(&mut self, c: &mut Chooser, passing: bool) -> Option<(usize, Score)> {
+        let (index, score) = self.best(c)?;
+        if passing && score.chance <= THRESHOLD {
+            return None;
+        }
+        // Without a deadline every place passes: a line is worth waiting in only if a machine
+        // rented now would not be sooner.
+        if c.due.is_none()
+            && matches!(self.places[index].what, What::Line(_))
+            && self.rental(c, true).is_some_and(|(kind, ..)| {
+                let t = &self.types[kind];
+                let up = self.ctx.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
+                up + self.run_guess(c, &t.name).mean() < score.mean
+            })
+        {
+            return None;
+        }
+        Some((index, score))
+    }
+
+    /// Each chooser picks its place of highest chance; the one of least completion time takes
+    /// its own; until nobody finds a place. `passing`: only above the threshold. Otherwise those
+    /// left take what nobody passing wanted, and plan rentals for what finds nothing.
+    pub fn map(&mut self, choosers: &mut [Chooser], passing: bool) {
+        for c in choosers.iter_mut() {
+            c.search(passing);
+        }
+        while self.binds < PASS_BINDS {
+            let mut best: Option<(usize, usize, f64)> = None;
+            for (n, c) in choosers.iter_mut().enumerate().filter(|(_, c)| c.left > 0) {
+                let Some((place, score)) = self.pick(c, passing) else { continue };
+                if best.is_none_or(|(_, _, mean)| score.mean < mean) {
+                    best = Some((n, place, score.mean));
+                }
+            }
+            let Some((n, place, _)) = best else { break };
+            let c = &mut choosers[n];
+            let lined = matches!(self.places[place].what, What::Line(_));
+            if !lined && !self.within_limit(c.team, &c.spec) {
+                // Nothing more of it fits its team's limit, wherever: not tried again in this
+                // round, or a job at the limit would try for ever.
+                c.left = 0;
+            } else if !self.take(c, place) {
+                c.heap.pop();
+            }
+        }
+        if !self.full || self.binds >= PASS_BINDS {
+            return;
+        }
+        for c in choosers.iter_mut() {
+            self.plan_rentals(c, passing);
+        }
+    }
+
+    /// One task of the chooser takes a place. False if it cannot.
+    pub fn take(&mut self, c: &mut Chooser, index: usize) -> bool {
+        let place = &self.places[index];
+        let (kind, zone) = (place.kind, place.zone);
+        let each = Room::of(&c.spec);
+        match place.what.clone() {
+            What::Now => {
+                let Some(machine) = place.machine.clone() else { return false };
+                // The rules once more, on the tables themselves.
+                if !self.allowed(&c.id, &machine) || self.bind(&c.id, &machine).is_none() {
+                    return false;
+                }
+                self.places[index].room.take(&each);
+            }
+            What::Line(slot) => {
+                let Some(job) = self.leader.jobs.get_mut(&c.id) else { return false };
+                self.leader.lines.join(slot.clone(), job);
+                let end = self.end_after(self.places[index].end, &c.id, kind);
+                self.places[index].end = end;
+                if !self.leader.lines.has_room(&slot) {
+                    self.places[index].room = Room::default();
+                }
+            }
+            What::Boot | What::Rental => {
+                let place = &mut self.places[index];
+                place.room.take(&each);
+                // The same image is fetched once.
+                if !place.images.contains(&c.image) {
+                    place.images.push(c.image);
+                }
+                self.plan_use(c.team, &each);
+            }
+        }
+        c.left -= 1;
+        c.enter(zone);
+        if let Some(d) = self.demand.get_mut(&c.spec.class) {
+            *d = d.saturating_sub(1);
+        }
+        true
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,7 +1,18 @@
 //! The round: which waiting task goes where. The thesis's PAM, with gangs, limits and zones.
+//!
+//! A pass costs what has changed and what waits, not the number of machines times the number of
+//! tasks: places whose end is alike share one mass function ([`ends::Ends`]), each chooser computes
+//! a score once per such end, and takes places off a heap whose order can only get worse.
 
+mod chooser;
+mod ends;
+mod gangs;
 mod lines;
+mod places;
+mod preempt;
+mod rental;
 mod round;
 
 pub use lines::Lines;
-pub use round::{pass, reserve_needs, want_pass};
+pub use places::Reserve;
+pub use round::{pass, want_pass};
--- /dev/null
+++ b/src/placement/preempt.rs
@@ -0,0 +1,140 @@
+//! Preemption: services take the room of array tasks of lower priority.
+
+use super::chooser::Chooser;
+use super::places::usable;
+use super::round::Round;
+use crate::constants::*;
+use crate::job::*;
+use crate::machine::Room;
+
+/// Tasks of several jobs.
+type Tasks = Vec<(JobId, u32)>;
+
+/// A machine with array tasks that could be stopped, least work lost first.
+pub(super) struct Candidate {
+    machine: MachineId,
+    kind: usize,
+    zone: usize,
+    spot: bool,
+    room: Room,
+    tasks: Vec<(u64, JobId, u32, Room, Priority)>,
+}
+
+impl Round<'_, '_> {
+    /// Makes room for services by stopping tasks of lower priority, where that starts them clearly
+    /// sooner than any free room would. The service then waits a moment for that room.
+    pub fn preempt(&mut self, choosers: &mut [Chooser]) {
+        let now = self.ctx.now;
+        let soon = self.ctx.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
+        for c in choosers.iter_mut().filter(|c| c.spec.kind == Kind::Service && c.left > 0) {
+            c.search(true);
+            let since = self.leader.preempting.get(&c.id).copied();
+            // Any place as good as the one being made will do.
+            let goal = since.map_or(0.0, |(_, fetch)| fetch + soon).max(PREEMPT_GAIN_MS);
+            let best = self.best(c).map_or(f64::MAX, |(_, s)| s.mean - now as f64);
+            if best <= goal || since.is_some_and(|(at, _)| now > at + PREEMPT_WAIT_MS) {
+                continue;
+            }
+            if since.is_none() {
+                let limit = best - PREEMPT_GAIN_MS - soon;
+                let Some((fetch, victims)) = self.victims(c, limit) else { continue };
+                self.leader.preempting.insert(c.id.clone(), (now, fetch));
+                for (id, task) in victims {
+                    let Some(job) = self.leader.jobs.get_mut(&id) else { continue };
+                    if let Some(attempt) = job.attempts.get_mut(&task) {
+                        tracing::info!(job = %id, task, machine = %attempt.machine, by = %c.id, "task preempted");
+                        attempt.stop.get_or_insert((now, 0));
+                    }
+                }
+            }
+            c.left = 0;
+        }
+    }
+
+    /// Machines with tasks that could be stopped, found once in a pass. Those on which room is
+    /// already being made are for another.
+    fn candidates(&mut self) -> Vec<Candidate> {
+        let now = self.ctx.now;
+        let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
+        let mut found = Vec::new();
+        for machine in self.leader.machines.values().filter(|m| usable(m, now, lease)) {
+            let Some(kind) = self.types.iter().position(|t| t.name == machine.kind) else {
+                continue;
+            };
+            let Some(zone) = self.zones.iter().position(|z| *z == machine.zone) else { continue };
+            let mut tasks = Vec::new();
+            let mut leaving = false;
+            for (id, task) in machine.tasks.keys() {
+                let Some(job) = self.leader.jobs.get(id) else { continue };
+                let Some(attempt) = job.attempts.get(task).filter(|a| a.occupies()) else {
+                    continue;
+                };
+                leaving |= attempt.stop.is_some();
+                if job.spec.kind == Kind::Array {
+                    let lost = attempt.ran_at.map_or(0, |at| now.saturating_sub(at));
+                    let size = Room::of(&job.spec);
+                    tasks.push((lost, id.clone(), *task, size, job.spec.priority));
+                }
+            }
+            if leaving || tasks.is_empty() {
+                continue;
+            }
+            tasks.sort_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
+            found.push(Candidate {
+                machine: machine.id.clone(),
+                kind,
+                zone,
+                spot: machine.spot,
+                room: machine.free().unwrap_or_default(),
+                tasks,
+            });
+        }
+        found
+    }
+
+    /// The tasks whose stop makes room for a service, and the fetch it then needs: least, and
+    /// within `limit` ms; among equals, what loses the least work.
+    fn victims(&mut self, c: &Chooser, limit: f64) -> Option<(f64, Tasks)> {
+        if self.candidates.is_none() {
+            self.candidates = Some(self.candidates());
+        }
+        let candidates = self.candidates.as_ref()?;
+        let mut best: Option<(f64, u64, usize, Tasks)> = None;
+        for (index, m) in candidates.iter().enumerate() {
+            let fetch = self.types[m.kind].fetch_ms(&c.spec);
+            let there = || {
+                let machine = self.leader.machines.get(&m.machine);
+                machine.is_some_and(|it| it.has_image(&c.spec.image))
+            };
+            if !c.may_use(m.kind, m.zone, m.spot, &self.zones)
+                || c.bad.contains(&m.machine)
+                || m.tasks.is_empty()
+            {
+                continue;
+            }
+            let fetch = if there() { 0.0 } else { fetch };
+            if fetch > limit || best.as_ref().is_some_and(|b| b.0 < fetch) {
+                continue;
+            }
+            let mut room = m.room;
+            let (mut lost, mut chosen) = (0, Vec::new());
+            for (cost, id, task, each, _) in m.tasks.iter().filter(|t| t.4 < c.spec.priority) {
+                if room.holds(&c.spec) {
+                    break;
+                }
+                room.give(each);
+                lost += cost;
+                chosen.push((id.clone(), *task));
+            }
+            let fits = room.holds(&c.spec) && !chosen.is_empty();
+            if fits && best.as_ref().is_none_or(|(f, l, ..)| (fetch, lost) < (*f, *l)) {
+                best = Some((fetch, lost, index, chosen));
+            }
+        }
+        let (fetch, _, index, chosen) = best?;
+        if let Some(candidates) = &mut self.candidates {
+            candidates[index].tasks.clear();
+        }
+        Some((fetch, chosen))
+    }
+}
--- /dev/null
+++ b/src/placement/rental.rs
@@ -0,0 +1,123 @@
+//! Machines to rent: lines behind boot and fetch time.
+
+use super::chooser::Chooser;
+use super::places::{Place, What};
+use super::round::Round;
+use crate::chance::{History, Pmf};
+use crate::constants::*;
+use crate::machine::Room;
+use std::collections::HashMap;
+
+/// Which types, zones and kinds may be asked for now.
+#[derive(Debug, Default)]
+pub(super) struct Market {
+    open: HashMap<(usize, usize, bool), bool>,
+}
+
+impl Round<'_, '_> {
+    fn may_rent(&mut self, kind: usize, zone: usize, spot: bool) -> bool {
+        let key = (kind, zone, spot);
+        if let Some(open) = self.market.open.get(&key) {
+            return *open;
+        }
+        let open = self.leader.fleet.may_rent(
+            &self.types[kind].name,
+            &self.zones[zone],
+            spot,
+            self.ctx.now,
+        );
+        self.market.open.insert(key, open);
+        open
+    }
+
+    /// Whether a chooser's task passes on a machine of a type rented now.
+    fn passes(&mut self, c: &mut Chooser, kind: usize) -> bool {
+        if let Some(known) = c.passes[kind] {
+            return known;
+        }
+        let t = &self.types[kind];
+        let up = self.ctx.now as f64 + t.boot_ms;
+        let end = Pmf::at(up).convolve(&self.run_guess(c, &t.name)).later(t.fetch_ms(&c.spec));
+        let passes = c.due.is_none_or(|due| end.chance(due as f64) > THRESHOLD);
+        c.passes[kind] = Some(passes);
+        passes
+    }
+
+    /// The cheapest machine to rent on which the chooser's tasks pass, or run at all.
+    pub fn rental(&mut self, c: &mut Chooser, passing: bool) -> Option<(usize, usize, bool)> {
+        let mut best: Option<(f64, (usize, usize, bool))> = None;
+        let demand = self.demand.get(&c.spec.class).copied().unwrap_or(1).max(1);
+        let types = self.types.clone();
+        for (kind, t) in types.iter().enumerate() {
+            if !c.kinds[kind] {
+                continue;
+            }
+            let fits = t.room().fits(&Room::of(&c.spec));
+            if fits == 0 || passing && !self.passes(c, kind) {
+                continue;
+            }
+            for zone in &t.zones {
+                let zone = self.zone_number(zone);
+                for spot in [true, false] {
+                    if !c.may_use(kind, zone, spot, &self.zones) || !self.may_rent(kind, zone, spot)
+                    {
+                        continue;
+                    }
+                    let cost = t.cost(spot) / f64::from(fits.min(demand));
+                    // A second of waiting for work to start weighs like a little money.
+                    let wait = t.boot_ms + t.fetch_ms(&c.spec);
+                    let cost = cost * (1.0 + wait / RENT_WAIT_MS);
+                    if best.as_ref().is_none_or(|(b, _)| cost < *b) {
+                        best = Some((cost, (kind, zone, spot)));
+                    }
+                }
+            }
+        }
+        best.map(|(_, found)| found)
+    }
+
+    /// Plans one more machine, and gives it as a place.
+    pub fn wish(&mut self, kind: usize, zone: usize, spot: bool) -> usize {
+        *self.wishes.entry((kind, zone, spot)).or_default() += 1;
+        let end = self.free_at(kind, self.ctx.now as f64 + self.types[kind].boot_ms);
+        self.places.push(Place {
+            what: What::Rental,
+            machine: None,
+            kind,
+            zone,
+            spot,
+            room: self.types[kind].room(),
+            kept: Room::default(),
+            end,
+            images: Vec::new(),
+        });
+        self.places.len() - 1
+    }
+
+    /// Plans machines for what finds no place.
+    pub fn plan_rentals(&mut self, c: &mut Chooser, passing: bool) {
+        while c.left > 0 && self.within_limit(c.team, &c.spec) {
+            let Some((kind, zone, spot)) = self.rental(c, passing) else { break };
+            let index = self.wish(kind, zone, spot);
+            // Fill the new machine with this job's tasks; the others find it as a place.
+            let before = c.left;
+            while c.left > 0
+                && self.suits(c, &self.places[index])
+                && self.within_limit(c.team, &c.spec)
+            {
+                if !self.take(c, index) {
+                    break;
+                }
+            }
+            if c.left == before {
+                break;
+            }
+        }
+    }
+
+    /// The run time of a chooser's task on a type, as last computed or before anything is known.
+    pub fn run_guess(&self, c: &Chooser, kind: &str) -> Pmf {
+        let learnt = self.leader.history.get(&c.id).and_then(|h| h.known(kind));
+        learnt.cloned().unwrap_or_else(|| History::prior(c.spec.estimate_s))
+    }
+}
