--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -69,6 +69,11 @@
         self.last_fail.is_some() && self.last_fail > self.last_ok
     }
 
+    /// Calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Asks for a call.
     pub fn push(&mut self, call: Call) {
         match call {
--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -48,6 +48,8 @@
     pub round_at: Time,
     /// Services for which room is being made: since when, and the fetch they will need there, ms.
     pub preempting: HashMap<JobId, (Time, f64)>,
+    /// When the status was last told.
+    status_at: Time,
     /// Something changed that a pass may use.
     pub stir: bool,
     launches: u64,
@@ -92,6 +94,7 @@
             passed_at: 0,
             round_at: now,
             preempting: HashMap::new(),
+            status_at: now,
             stir: true,
             launches: 0,
             nonce: 0,
@@ -787,6 +790,54 @@
         }
     }
 
+    /// Tells the log now and then how much waits, runs and is free.
+    pub fn status(&mut self, ctx: &Ctx) {
+        if ctx.now < self.status_at + STATUS_MS {
+            return;
+        }
+        self.status_at = ctx.now;
+        let (mut waiting, mut lined, mut held, mut binding, mut bound) = (0, 0, 0, 0, 0);
+        let (mut fetching, mut running, mut exited) = (0, 0, 0);
+        for job in self.jobs.values() {
+            waiting += job.waiting.len();
+            lined += job.lined;
+            held += job.held.len();
+            for attempt in job.attempts.values() {
+                match attempt.stage() {
+                    Stage::Committing => binding += 1,
+                    Stage::Bound => bound += 1,
+                    Stage::Fetching | Stage::Waiting => fetching += 1,
+                    Stage::Running | Stage::Saving => running += 1,
+                    Stage::Exited(_) => exited += 1,
+                }
+            }
+        }
+        let ready = self.machines.values().filter(|m| m.standing() == Standing::Ready);
+        let free: f64 = ready.clone().filter_map(|m| m.free()).map(|r| r.cpus).sum();
+        let ready = ready.count();
+        let late = self.jobs.values().filter(|j| j.missed).count();
+        let machines = self.machines.len();
+        let queued = ctx.store.queued();
+        tracing::info!(
+            jobs = self.jobs.len(),
+            late,
+            waiting,
+            lined,
+            held,
+            binding,
+            bound,
+            fetching,
+            running,
+            exited,
+            machines,
+            ready,
+            free_cpus = free,
+            ?queued,
+            cloud_queued = ctx.cloud.queued(),
+            "status"
+        );
+    }
+
     /// Counts for display, for the other controllers.
     pub fn counts(&self) -> Vec<(String, u32, u32)> {
         let counts = self.jobs.iter().map(|(id, j)| (id.to_string(), j.counts()));
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -384,6 +384,7 @@
             fleet::tick(leader, &mut ctx);
             leader.flush_all(&mut ctx);
             sweep(leader, &mut ctx);
+            leader.status(&ctx);
         }
     }
 
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -97,6 +97,9 @@
 /// Connections one HTTP listener keeps waiting to be accepted.
 pub const BACKLOG: u32 = 256;
 
+/// Time between two lines of status in the leader's log, ms.
+pub const STATUS_MS: u64 = 10_000;
+
 // ---- jobs --------------------------------------------------------------------------------------
 
 /// Most tasks of a job (protocol).
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -221,6 +221,11 @@
         self.queues.iter().map(VecDeque::len).sum::<usize>() < STORE_QUEUE_MOST
     }
 
+    /// Calls that wait, by urgency.
+    pub fn queued(&self) -> [usize; 3] {
+        [0, 1, 2].map(|level: usize| self.queues[level].len())
+    }
+
     /// Asks for a call.
     pub fn push(&mut self, call: Call, purpose: P, urgency: Urgency, patience: Patience) {
         let pending =
