Few cloud calls: returns batched, rentals grow until they leave, replanned at once when refused

Cause: 5 to 42 calls queued behind a rate of 1.6 a second: each machine lost was a return of its own, each round's rentals were new calls, the list took half the rate in small pages; after a refusal the next market was tried two seconds later.

--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Makes a rental that still waits ask for that many machines. False if it has left.
+    pub fn enlarge(&mut self, charter: &str, number: u32) -> bool {
+        let waits = self.queue.iter_mut().find_map(|c| match c {
+            Call::Rent(rent) if rent.charter == charter => Some(rent),
+            _ => None,
+        });
+        waits.map(|rent| rent.number = number).is_some()
+    }
+
     /// Drops everything that waits.
     pub fn clear(&mut self) {
         self.queue.clear();
--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -185,7 +185,7 @@
         let now = ctx.now;
         let id = MachineId::from(report.berth.as_str());
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
-            tracing::info!(machine = %id, "machine unknown so far reports");
+            tracing::debug!(machine = %id, "machine unknown so far reports");
             Machine::new(id.clone(), now)
         });
         let mut orders = Orders { helm: self.token, orders: Vec::new() };
@@ -447,6 +447,11 @@
         self.after_loss(id, now);
     }
 
+    /// Rentals were refused: others are planned at once, not with the next round.
+    pub fn plan_again(&mut self) {
+        self.round_at = 0;
+    }
+
     /// The task of an attempt proved gone waits again.
     pub fn release(&mut self, id: &JobId, task: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -481,7 +486,7 @@
         self.lines.drop_machine(id, &mut self.jobs);
         self.machines.remove(id);
         self.stir = true;
-        tracing::info!(machine = %id, "machine gone");
+        tracing::debug!(machine = %id, "machine gone");
     }
 
     // ---- commands ------------------------------------------------------------------------------
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -54,12 +54,13 @@
 pub const CLOUD_SHARE: f64 = 0.8;
 /// Pause after a cloud error, ms.
 pub const CLOUD_BACKOFF_MS: u64 = 1_500;
-/// Time between readings of the machine list, ms.
-pub const CLOUD_LIST_MS: u64 = 5_000;
+/// Time between readings of the machine list, ms: the list lags by as much, and its pages are a
+/// good part of 2 calls a second.
+pub const CLOUD_LIST_MS: u64 = 10_000;
 /// Time between readings of the machine types, ms: market prices move slowly.
 pub const CLOUD_TYPES_MS: u64 = 60_000;
-/// Names asked for in one page of the machine list.
-pub const CLOUD_PAGE: u32 = 200;
+/// Names asked for in one page of the machine list (protocol: 500 at most).
+pub const CLOUD_PAGE: u32 = 500;
 /// Most machines in one rental request (protocol).
 pub const RENT_MOST: u32 = 50;
 /// Most names in one return request (protocol).
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,11 +23,20 @@
     pub number: u32,
 }
 
+/// A rental asked for and not answered.
+#[derive(Debug, Clone)]
+struct Asked {
+    wish: Wish,
+    at: Time,
+    /// It has left at least once: its name then stands for this number of machines.
+    left: bool,
+}
+
 /// Rentals and returns under way.
 #[derive(Debug, Default)]
 pub struct Fleet {
     charters: u64,
-    asked: BTreeMap<String, (Wish, Time)>,
+    asked: BTreeMap<String, Asked>,
     refused: HashMap<(String, String, bool), (Time, u64)>,
     returning: BTreeSet<MachineId>,
     wanted: BTreeSet<MachineId>,
@@ -43,7 +52,7 @@
 impl Fleet {
     /// Rentals asked for and not answered.
     pub fn asked(&self) -> Vec<(Wish, Time)> {
-        self.asked.values().cloned().collect()
+        self.asked.values().map(|a| (a.wish.clone(), a.at)).collect()
     }
 
     /// Whether a machine was returned under this term.
@@ -59,16 +68,28 @@
     /// Whether a rental is worth asking for.
     pub fn may_rent(&self, kind: &str, zone: &str, spot: bool, now: Time) -> bool {
         let key = (kind.to_string(), zone.to_string(), spot);
-        let waiting =
-            self.asked.values().filter(|(w, _)| w.kind == kind && w.zone == zone && w.spot == spot);
+        let waiting = self.asked.values().map(|a| &a.wish);
+        let waiting = waiting.filter(|w| w.kind == kind && w.zone == zone && w.spot == spot);
         waiting.count() < RENTALS_OPEN_MOST
             && self.refused.get(&key).is_none_or(|(until, _)| now >= *until)
     }
 
-    /// Asks for machines. A request's name comes from the token and a counter: no node reuses it.
-    pub fn rent(&mut self, token: u64, wishes: Vec<Wish>, ctx: &mut Ctx) {
+    /// Asks for machines, the most wanted first. A request's name comes from the token and a
+    /// counter: no node reuses it. One that has not left yet takes more in, since the cloud's
+    /// calls a second are few.
+    pub fn rent(&mut self, token: u64, mut wishes: Vec<Wish>, ctx: &mut Ctx) {
+        wishes.sort_by_key(|w| std::cmp::Reverse(w.number));
         for wish in wishes {
             let mut left = wish.number;
+            let same = |w: &Wish| w.kind == wish.kind && w.zone == wish.zone && w.spot == wish.spot;
+            for (charter, asked) in self.asked.iter_mut().filter(|(_, a)| !a.left && same(&a.wish))
+            {
+                let more = left.min(RENT_MOST.saturating_sub(asked.wish.number));
+                if more > 0 && ctx.cloud.enlarge(charter, asked.wish.number + more) {
+                    asked.wish.number += more;
+                    left -= more;
+                }
+            }
             while left > 0 {
                 let number = left.min(RENT_MOST);
                 left -= number;
@@ -77,7 +98,7 @@
                 tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, number, "renting machines");
                 let part = Wish { number, ..wish.clone() };
                 ctx.cloud.push(Call::Rent(rent_call(&charter, &part)));
-                self.asked.insert(charter, (part, ctx.now));
+                self.asked.insert(charter, Asked { wish: part, at: ctx.now, left: false });
             }
         }
     }
@@ -85,7 +106,7 @@
     /// Marks a machine to be returned.
     pub fn want_return(&mut self, machine: &mut Machine, why: &str) {
         if machine.advance(Standing::Returning) {
-            tracing::info!(machine = %machine.id, why, "returning machine");
+            tracing::debug!(machine = %machine.id, why, "returning machine");
             self.wanted.insert(machine.id.clone());
         }
     }
@@ -106,11 +127,12 @@
     let now = ctx.now;
     match (call, outcome) {
         (Call::Rent(rent), Outcome::Rented(berths)) => {
-            let Some((wish, _)) = leader.fleet.asked.remove(&rent.charter) else { return };
+            let Some(Asked { wish, .. }) = leader.fleet.asked.remove(&rent.charter) else { return };
             let key = (wish.kind.clone(), wish.zone.clone(), wish.spot);
             let got = berths.berths.len() as u32;
             if got < wish.number {
                 refuse(&mut leader.fleet, key, now);
+                leader.plan_again();
             } else {
                 leader.fleet.refused.remove(&key);
             }
@@ -128,13 +150,19 @@
             }
         }
         (Call::Rent(rent), Outcome::NoCapacity | Outcome::Malformed(_)) => {
-            if let Some((wish, _)) = leader.fleet.asked.remove(&rent.charter) {
+            if let Some(Asked { wish, .. }) = leader.fleet.asked.remove(&rent.charter) {
+                leader.plan_again();
                 tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, "no capacity");
                 refuse(&mut leader.fleet, (wish.kind, wish.zone, wish.spot), now);
             }
         }
         // The same name again: if it was served, the answer is the same and nothing is rented.
-        (Call::Rent(_), _) => ctx.cloud.push(call.clone()),
+        (Call::Rent(rent), _) => {
+            if let Some(asked) = leader.fleet.asked.get_mut(&rent.charter) {
+                asked.left = true;
+                ctx.cloud.push(call.clone());
+            }
+        }
         (Call::Return(names), Outcome::Returned) => {
             for name in names {
                 let id = MachineId::from(name.as_str());
@@ -193,12 +221,15 @@
         idle(leader, ctx);
     }
     drain(leader, ctx);
+    // One return waits or flies at a time, and takes all that has come up: a wave of machines lost
+    // must not keep rentals waiting for its many calls.
     let batch: Vec<MachineId> = leader.fleet.wanted.iter().take(RETURN_MOST).cloned().collect();
-    if !batch.is_empty() {
+    if !batch.is_empty() && leader.fleet.returning.is_empty() {
         for id in &batch {
             leader.fleet.wanted.remove(id);
             leader.fleet.returning.insert(id.clone());
         }
+        tracing::info!(machines = batch.len(), "returning machines");
         ctx.cloud.push(Call::Return(batch.iter().map(|id| id.to_string()).collect()));
     }
 }
--- a/src/placement/rental.rs
+++ b/src/placement/rental.rs
@@ -79,6 +79,10 @@
     /// Plans one more machine, and gives it as a place.
     pub fn wish(&mut self, kind: usize, zone: usize, spot: bool) -> usize {
         *self.wishes.entry((kind, zone, spot)).or_default() += 1;
+        // What a market is asked for beyond one request waits for its answer, or goes elsewhere.
+        if self.wishes[&(kind, zone, spot)] >= RENT_MOST {
+            self.market.open.insert((kind, zone, spot), false);
+        }
         let end = self.free_at(kind, self.ctx.now as f64 + self.types[kind].boot_ms);
         self.places.push(Place {
             what: What::Rental,
