--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -586,6 +586,19 @@
                 }
             }
         }
+        // By type: machines, and CPUs free on them.
+        let mut kinds: BTreeMap<(&str, bool), (u32, f64)> = BTreeMap::new();
+        for machine in self.machines.values() {
+            let kind = kinds.entry((&machine.kind, machine.spot)).or_default();
+            kind.0 += 1;
+            kind.1 += machine.free().map_or(0.0, |r| r.cpus);
+        }
+        let kinds: Vec<String> = kinds
+            .iter()
+            .map(|((kind, spot), (n, free))| {
+                format!("{n} {kind}{} {free:.0} free", if *spot { " spot" } else { "" })
+            })
+            .collect();
         let ready = self.machines.values().filter(|m| m.standing() == Standing::Ready);
         let free: f64 = ready.clone().filter_map(|m| m.free()).map(|r| r.cpus).sum();
         let ready = ready.count();
@@ -609,6 +622,7 @@
             free_cpus = free,
             ?queued,
             cloud_queued = ctx.cloud.queued(),
+            kinds = kinds.join(", "),
             "status"
         );
     }
--- a/src/machine/mod.rs
+++ b/src/machine/mod.rs
@@ -183,6 +183,8 @@
     pub suspect: bool,
     /// Room left by what is on it; forgotten by whatever changes it, recounted when next asked.
     free: Option<Room>,
+    /// Whether replicas of services are on it, counted with its room.
+    anchored: bool,
 }
 
 impl Machine {
@@ -209,6 +211,7 @@
             errors: BTreeSet::new(),
             suspect: false,
             free: None,
+            anchored: false,
         }
     }
 
@@ -217,9 +220,15 @@
         self.free
     }
 
-    /// Notes the room left.
-    pub fn counted(&mut self, free: Room) {
+    /// Whether replicas of services are on it: it then stays for long.
+    pub fn anchored(&self) -> bool {
+        self.anchored
+    }
+
+    /// Notes the room left, and whether replicas are on it.
+    pub fn counted(&mut self, free: Room, anchored: bool) {
         self.free = Some(free);
+        self.anchored = anchored;
     }
 
     /// What it holds has changed: its room must be counted anew.
--- a/src/placement/chooser.rs
+++ b/src/placement/chooser.rs
@@ -17,9 +17,9 @@
     pub mean: f64,
 }
 
-/// Order of places for a chooser: highest chance, then soonest, then the fullest machine, so that
-/// others can be returned.
-type Rank = Reverse<(i64, i64, i64, usize)>;
+/// Order of places for a chooser: highest chance, then soonest, then what keeping the machine for
+/// it costs, then the fullest machine, so that others can be returned.
+type Rank = Reverse<(i64, i64, i64, i64, usize)>;
 
 /// A job that has tasks to place.
 pub(super) struct Chooser {
@@ -177,7 +177,15 @@
         let place = &self.places[index];
         let chance = -(score.chance * 50.0).round() as i64;
         let mean = (score.mean / MS_PER_S).round() as i64;
-        (Reverse((chance, mean, (place.room.cpus * 1e3) as i64, index)), place.end)
+        // A replica holds its machine for long: one that holds replicas already costs nothing more,
+        // another its whole price once the short work on it is done.
+        let keep = match c.spec.kind {
+            Kind::Service if !place.anchored => {
+                (self.types[place.kind].cost(place.spot) * 1e3) as i64
+            }
+            _ => 0,
+        };
+        (Reverse((chance, mean, keep, (place.room.cpus * 1e3) as i64, index)), place.end)
     }
 
     /// The best place for a chooser's next task, if any suits. Places only get fuller and later
@@ -192,7 +200,7 @@
             }
         }
         loop {
-            let &(Reverse((_, _, _, index)), end) = c.heap.peek()?;
+            let &(Reverse((.., index)), end) = c.heap.peek()?;
             if !self.suits(c, &self.places[index]) {
                 c.heap.pop();
             } else if self.places[index].end != end {
@@ -274,6 +282,7 @@
                     return false;
                 }
                 self.places[index].room.take(&each);
+                self.places[index].anchored |= c.spec.kind == Kind::Service;
             }
             What::Line(slot) => {
                 let Some(job) = self.leader.jobs.get_mut(&c.id) else { return false };
@@ -287,6 +296,7 @@
             What::Boot | What::Rental => {
                 let place = &mut self.places[index];
                 place.room.take(&each);
+                place.anchored |= c.spec.kind == Kind::Service;
                 // The same image is fetched once.
                 if !place.images.contains(&c.image) {
                     place.images.push(c.image);
--- a/src/placement/places.rs
+++ b/src/placement/places.rs
@@ -36,6 +36,8 @@
     pub room: Room,
     /// What of the room is kept for services.
     pub kept: Room,
+    /// Replicas are on it: it stays anyway, and one more costs nothing.
+    pub anchored: bool,
     /// When what is before it ends.
     pub end: EndId,
     /// Numbers of the images there that this round asks for.
@@ -70,25 +72,22 @@
     pub fn count_rooms(&mut self, types: &[MachineType]) {
         for machine in self.machines.values_mut().filter(|m| m.free().is_none()) {
             if let Some(kind) = types.iter().find(|t| t.name == machine.kind) {
-                let free = free_room(&self.jobs, machine, kind);
-                machine.counted(free);
+                let (free, anchored) = free_room(&self.jobs, machine, kind);
+                machine.counted(free, anchored);
             }
         }
     }
 }
 
-/// Room left on a machine, counted from the tables.
-pub(super) fn free_room(
-    jobs: &BTreeMap<JobId, Job>,
-    machine: &Machine,
-    kind: &MachineType,
-) -> Room {
-    let mut room = kind.room();
+/// Room left on a machine, and whether replicas are on it, counted from the tables.
+fn free_room(jobs: &BTreeMap<JobId, Job>, machine: &Machine, kind: &MachineType) -> (Room, bool) {
+    let (mut room, mut anchored) = (kind.room(), false);
     for (job, task) in machine.tasks.keys() {
         if let Some(job) = jobs.get(job)
             && job.attempts.get(task).is_some_and(Attempt::occupies)
         {
             room.take(&Room::of(&job.spec));
+            anchored |= job.spec.kind == Kind::Service;
         }
     }
     for stray in machine.strays.values() {
@@ -98,7 +97,7 @@
             None => room = Room::default(),
         }
     }
-    room
+    (room, anchored)
 }
 
 /// Whether a machine may be given work.
@@ -250,6 +249,7 @@
                 spot: machine.spot,
                 room: t.room(),
                 kept: Room::default(),
+                anchored: machine.anchored(),
                 end: 0,
                 images: Vec::new(),
             };
@@ -308,6 +308,7 @@
                 spot: wish.spot,
                 room: types[kind].room(),
                 kept: Room::default(),
+                anchored: false,
                 end: self.free_at(kind, up),
                 images: Vec::new(),
             };
