--- a/src/placement/chooser.rs
+++ b/src/placement/chooser.rs
@@ -179,11 +179,13 @@
         let mean = (score.mean / MS_PER_S).round() as i64;
         // A replica holds its machine for long: one that holds replicas already costs nothing more,
         // another its whole price once the short work on it is done.
+        // Short work comes first where replicas are, then where its room is cheapest, so that dear
+        // machines are the ones that empty.
+        let cost = self.types[place.kind].cost(place.spot);
         let keep = match c.spec.kind {
-            Kind::Service if !place.anchored => {
-                (self.types[place.kind].cost(place.spot) * 1e3) as i64
-            }
-            _ => 0,
+            _ if place.anchored => 0,
+            Kind::Service => (cost * 1e3) as i64,
+            _ => (cost / self.types[place.kind].cpus.max(1.0) * 1e4) as i64,
         };
         (Reverse((chance, mean, keep, (place.room.cpus * 1e3) as i64, index)), place.end)
     }
