A new job's run time is guessed from how far its class misses its estimates

Cause: the even guess from half to three times the estimate makes no task of a new job pass behind a running one, so that at every burst all that waited was rented for at once.

--- a/src/chance/history.rs
+++ b/src/chance/history.rs
@@ -1,18 +1,25 @@
-//! Run times seen, per job and machine type.
+//! Run times seen, per job and machine type; and how far classes of jobs miss their estimates.
 
 use super::Pmf;
 use crate::constants::*;
+use crate::job::JobId;
 use hdrhistogram::Histogram;
 use std::collections::HashMap;
 
 /// Histograms of the run times of one job's tasks.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct History {
+    prior: Pmf,
     by_type: HashMap<String, Histogram<u16>>,
     cached: HashMap<String, Pmf>,
 }
 
 impl History {
+    /// Nothing seen yet: the run time lies where the prior says.
+    pub fn new(prior: Pmf) -> History {
+        History { prior, by_type: HashMap::new(), cached: HashMap::new() }
+    }
+
     /// Notes a finish.
     pub fn record(&mut self, machine_type: &str, run_ms: u64) {
         if !self.by_type.contains_key(machine_type) {
@@ -26,36 +33,23 @@
         self.cached.clear();
     }
 
-    /// The run time of a task on a machine type: evenly from half to three times the estimate,
-    /// and what was seen.
-    pub fn run_time(&mut self, machine_type: &str, estimate_s: f64) -> &Pmf {
+    /// The run time of a task on a machine type: the prior, and what was seen.
+    pub fn run_time(&mut self, machine_type: &str) -> &Pmf {
         if !self.cached.contains_key(machine_type) {
-            let fresh = self.compute(machine_type, estimate_s);
+            let fresh = self.compute(machine_type);
             self.cached.insert(machine_type.to_string(), fresh);
         }
         &self.cached[machine_type]
     }
 
-    /// The run time last computed for a machine type, if any.
-    pub fn known(&self, machine_type: &str) -> Option<&Pmf> {
-        self.cached.get(machine_type)
-    }
-
-    /// The run time before anything is known but the estimate.
-    pub fn prior(estimate_s: f64) -> Pmf {
-        let estimate = estimate_s * MS_PER_S;
-        Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH)
-    }
-
-    fn compute(&self, machine_type: &str, estimate_s: f64) -> Pmf {
-        let prior = History::prior(estimate_s);
+    fn compute(&self, machine_type: &str) -> Pmf {
         let seen = self.by_type.get(machine_type).filter(|h| !h.is_empty());
         // Types differ little in speed: without a finish on this one, another's serve.
         let Some(seen) = seen.or_else(|| self.by_type.values().max_by_key(|h| h.len())) else {
-            return prior;
+            return self.prior.clone();
         };
-        let each = PRIOR_WEIGHT / prior.mass.len() as f64;
-        let mut points: Vec<(f64, f64)> = prior.points().map(|(t, _)| (t, each)).collect();
+        let mut points: Vec<(f64, f64)> =
+            self.prior.points().map(|(t, m)| (t, m * PRIOR_WEIGHT)).collect();
         points
             .extend(seen.iter_recorded().map(|v| {
                 ((v.value_iterated_to() * RUN_UNIT_MS) as f64, v.count_at_value() as f64)
@@ -63,3 +57,79 @@
         Pmf::from_points(&points)
     }
 }
+
+/// How many times the estimate the tasks of a class take.
+#[derive(Debug)]
+struct Ratios {
+    seen: Histogram<u32>,
+    pmf: Pmf,
+    fresh_at: u64,
+}
+
+/// Run times of all jobs, and what each class has taught.
+#[derive(Debug, Default)]
+pub struct Histories {
+    by_job: HashMap<JobId, (History, u32)>,
+    by_class: HashMap<String, Ratios>,
+}
+
+impl Histories {
+    /// The history of a job, begun if it is new.
+    pub fn of(&mut self, id: &JobId, class: &str, estimate_s: f64) -> &mut History {
+        let fresh = (!self.by_job.contains_key(id)).then(|| self.prior(class, estimate_s));
+        let fresh = || (History::new(fresh.unwrap_or_else(|| Pmf::at(0.0))), 0);
+        &mut self.by_job.entry(id.clone()).or_insert_with(fresh).0
+    }
+
+    /// The run time before anything is known of the job but its estimate: evenly from half to
+    /// three times the estimate, or as other jobs of its class have turned out.
+    pub fn prior(&self, class: &str, estimate_s: f64) -> Pmf {
+        let estimate = estimate_s * MS_PER_S;
+        match self.by_class.get(class).filter(|r| r.seen.len() >= RATIOS_LEAST) {
+            Some(ratios) => ratios.pmf.stretched(estimate),
+            None => Pmf::even(estimate * PRIOR_LOW, estimate * PRIOR_HIGH),
+        }
+    }
+
+    /// Notes a finish.
+    pub fn finished(
+        &mut self,
+        id: &JobId,
+        class: &str,
+        estimate_s: f64,
+        machine_type: &str,
+        ms: u64,
+    ) {
+        self.of(id, class, estimate_s).record(machine_type, ms);
+        let Some((_, noted)) = self.by_job.get_mut(id) else { return };
+        // A job misses its estimate with all its tasks: no job teaches its class more than a few.
+        if estimate_s <= 0.0 || *noted >= RATIOS_PER_JOB {
+            return;
+        }
+        *noted += 1;
+        if !self.by_class.contains_key(class) && self.by_class.len() < CLASSES_MOST {
+            let Ok(seen) = Histogram::new_with_bounds(1, RATIO_MOST, 2) else { return };
+            let fresh = Ratios { seen, pmf: Pmf::even(PRIOR_LOW, PRIOR_HIGH), fresh_at: 0 };
+            self.by_class.insert(class.to_string(), fresh);
+        }
+        if let Some(ratios) = self.by_class.get_mut(class) {
+            let ratio = ms as f64 / (estimate_s * MS_PER_S) * RATIO_UNITS;
+            ratios.seen.saturating_record((ratio as u64).clamp(1, RATIO_MOST));
+            if ratios.seen.len() > ratios.fresh_at + ratios.fresh_at / 8 {
+                ratios.fresh_at = ratios.seen.len();
+                let even = Pmf::even(PRIOR_LOW, PRIOR_HIGH);
+                let mut points: Vec<(f64, f64)> =
+                    even.points().map(|(t, m)| (t, m * RATIO_PRIOR_WEIGHT)).collect();
+                points.extend(ratios.seen.iter_recorded().map(|v| {
+                    (v.value_iterated_to() as f64 / RATIO_UNITS, v.count_at_value() as f64)
+                }));
+                ratios.pmf = Pmf::from_weights(&points, 0.0);
+            }
+        }
+    }
+
+    /// A job is over.
+    pub fn forget(&mut self, id: &JobId) {
+        self.by_job.remove(id);
+    }
+}
--- a/src/chance/mod.rs
+++ b/src/chance/mod.rs
@@ -2,7 +2,7 @@
 
 mod history;
 
-pub use history::History;
+pub use history::{Histories, History};
 
 use crate::constants::BINS;
 
@@ -33,8 +33,13 @@
         Pmf { origin: low + step / 2.0, step, mass: vec![1.0 / BINS as f32; BINS] }
     }
 
-    /// From weighted times. Without any weight: all at 0.
+    /// From weighted times. Without any weight: all at 0. Times less than 1 ms apart are one.
     pub fn from_points(points: &[(f64, f64)]) -> Pmf {
+        Pmf::from_weights(points, 1.0)
+    }
+
+    /// From weighted values; those within `least` are one.
+    fn from_weights(points: &[(f64, f64)], least: f64) -> Pmf {
         let total: f64 = points.iter().map(|p| p.1).sum();
         if total <= 0.0 {
             return Pmf::at(0.0);
@@ -42,7 +47,7 @@
         let held = points.iter().filter(|p| p.1 > 0.0);
         let (low, high) =
             held.clone().fold((f64::MAX, f64::MIN), |(l, h), p| (l.min(p.0), h.max(p.0)));
-        if high - low < 1.0 {
+        if high - low <= least {
             return Pmf::at(low);
         }
         let step = (high - low) / (BINS - 1) as f64;
@@ -59,6 +64,11 @@
         held.map(|(k, m)| (self.origin + k as f64 * self.step, f64::from(*m)))
     }
 
+    /// Each value `by` times as large.
+    pub fn stretched(&self, by: f64) -> Pmf {
+        Pmf { origin: self.origin * by, step: self.step * by, mass: self.mass.clone() }
+    }
+
     /// The same, `by` ms later.
     pub fn later(mut self, by: f64) -> Pmf {
         self.origin += by;
--- a/src/cluster/bindings.rs
+++ b/src/cluster/bindings.rs
@@ -260,7 +260,7 @@
             }
         }
         self.lines.drop_job(id);
-        self.history.remove(id);
+        self.history.forget(id);
         self.preempting.remove(id);
         tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
     }
--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -2,7 +2,7 @@
 
 use super::Ctx;
 use super::ledger::Ledger;
-use crate::chance::History;
+use crate::chance::Histories;
 use crate::constants::*;
 use crate::fleet::Fleet;
 use crate::job::*;
@@ -35,7 +35,7 @@
     /// Machines known.
     pub machines: BTreeMap<MachineId, Machine>,
     /// Run times per job.
-    pub history: HashMap<JobId, History>,
+    pub history: Histories,
     /// Lines of waiting work.
     pub lines: Lines,
     /// Rentals and returns.
@@ -90,7 +90,7 @@
             since: now,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
-            history: HashMap::new(),
+            history: Histories::default(),
             lines: Lines::default(),
             fleet: Fleet::default(),
             misses: 0,
@@ -416,7 +416,8 @@
             if let Some(machine) = self.machines.get_mut(&machine_id) {
                 machine.errors.clear();
                 if let Some(ran) = ran {
-                    self.history.entry(id.clone()).or_default().record(&machine.kind, ran);
+                    let spec = &job.spec;
+                    self.history.finished(id, &spec.class, spec.estimate_s, &machine.kind, ran);
                 }
             }
             self.end_if_over(id, ctx);
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -217,6 +217,19 @@
 pub const PRIOR_HIGH: f64 = 3.0;
 /// Weight of that prior, counted in finishes.
 pub const PRIOR_WEIGHT: f64 = 2.0;
+/// Finishes of a class from which on its jobs' run times are guessed from what others of the class
+/// took, in times of their estimates, and no longer from the bounds above.
+pub const RATIOS_LEAST: u64 = 30;
+/// Finishes of one job that teach its class at most: its tasks share its estimate's error.
+pub const RATIOS_PER_JOB: u32 = 10;
+/// Weight of the bounds above among what a class has taught, counted in finishes.
+pub const RATIO_PRIOR_WEIGHT: f64 = 6.0;
+/// Steps of a ratio that a histogram tells apart, for one.
+pub const RATIO_UNITS: f64 = 100.0;
+/// Largest ratio told apart, in those steps.
+pub const RATIO_MOST: u64 = 100_000;
+/// Classes of jobs that are learnt (memory).
+pub const CLASSES_MOST: usize = 200;
 /// Longest run time a histogram tells apart, in its unit of 100 ms: about 28 hours.
 pub const RUN_MOST: u64 = 1_000_000;
 /// Unit of run-time histograms, ms.
--- a/src/placement/chooser.rs
+++ b/src/placement/chooser.rs
@@ -163,8 +163,8 @@
         let score = if c.spec.kind == Kind::Service {
             Score { chance: 1.0, mean: before.mean() + fetch }
         } else {
-            let history = self.leader.history.entry(c.id.clone()).or_default();
-            let run = history.run_time(&t.name, c.spec.estimate_s);
+            let history = self.leader.history.of(&c.id, &c.spec.class, c.spec.estimate_s);
+            let run = history.run_time(&t.name);
             let end = before.convolve(run).later(fetch);
             Score { chance: c.due.map_or(1.0, |d| end.chance(d as f64)), mean: end.mean() }
         };
@@ -229,7 +229,7 @@
             && self.rental(c, true).is_some_and(|(kind, ..)| {
                 let t = &self.types[kind];
                 let up = self.ctx.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
-                up + self.run_guess(c, &t.name).mean() < score.mean
+                up + self.run_guess(c, kind).mean() < score.mean
             })
         {
             return None;
--- a/src/placement/places.rs
+++ b/src/placement/places.rs
@@ -189,8 +189,7 @@
     pub fn end_after(&mut self, end: EndId, id: &JobId, kind: usize) -> EndId {
         let Some(job) = self.leader.jobs.get(id) else { return end };
         let name = &self.types[kind].name;
-        let run =
-            self.leader.history.entry(id.clone()).or_default().run_time(name, job.spec.estimate_s);
+        let run = self.leader.history.of(id, &job.spec.class, job.spec.estimate_s).run_time(name);
         self.ends.number(Alike::After(end, id.clone()), |all| {
             let end = all[end].convolve(run);
             job.due.map_or(end.clone(), |d| end.cut(d as f64))
@@ -213,12 +212,8 @@
             None => Alike::Fetches(kind, slot.1.clone(), step(attempt.since)),
         };
         let t = &self.types[kind];
-        let run = self
-            .leader
-            .history
-            .entry(slot.1.clone())
-            .or_default()
-            .run_time(&t.name, job.spec.estimate_s);
+        let run =
+            self.leader.history.of(&slot.1, &job.spec.class, job.spec.estimate_s).run_time(&t.name);
         let (ran, since) = (attempt.ran_at, attempt.since);
         let end = self.ends.number(alike, |_| match ran {
             Some(at) => run.remaining(now - at as f64).later(now),
--- a/src/placement/rental.rs
+++ b/src/placement/rental.rs
@@ -3,7 +3,7 @@
 use super::chooser::Chooser;
 use super::places::{Place, What};
 use super::round::Round;
-use crate::chance::{History, Pmf};
+use crate::chance::Pmf;
 use crate::constants::*;
 use crate::machine::Room;
 use std::collections::HashMap;
@@ -36,8 +36,8 @@
             return known;
         }
         let t = &self.types[kind];
-        let up = self.ctx.now as f64 + t.boot_ms;
-        let end = Pmf::at(up).convolve(&self.run_guess(c, &t.name)).later(t.fetch_ms(&c.spec));
+        let (up, fetch) = (self.ctx.now as f64 + t.boot_ms, t.fetch_ms(&c.spec));
+        let end = self.run_guess(c, kind).clone().later(up + fetch);
         let passes = c.due.is_none_or(|due| end.chance(due as f64) > THRESHOLD);
         c.passes[kind] = Some(passes);
         passes
@@ -120,9 +120,9 @@
         }
     }
 
-    /// The run time of a chooser's task on a type, as last computed or before anything is known.
-    pub fn run_guess(&self, c: &Chooser, kind: &str) -> Pmf {
-        let learnt = self.leader.history.get(&c.id).and_then(|h| h.known(kind));
-        learnt.cloned().unwrap_or_else(|| History::prior(c.spec.estimate_s))
+    /// The run time of a chooser's task on a type.
+    pub fn run_guess(&mut self, c: &Chooser, kind: usize) -> &Pmf {
+        let history = self.leader.history.of(&c.id, &c.spec.class, c.spec.estimate_s);
+        history.run_time(&self.types[kind].name)
     }
 }
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -191,9 +191,9 @@
             let mut keep = Vec::with_capacity(line.len());
             for id in &line {
                 let Some(job) = self.leader.jobs.get(id) else { continue };
-                let (due, estimate) = (job.due, job.spec.estimate_s);
-                let history = self.leader.history.entry(id.clone()).or_default();
-                let run = history.run_time(&self.types[kind].name, estimate);
+                let (due, spec) = (job.due, &job.spec);
+                let history = self.leader.history.of(id, &spec.class, spec.estimate_s);
+                let run = history.run_time(&self.types[kind].name);
                 let before = self.ends.get(end);
                 let stays = due.is_none_or(|d| before.convolve(run).chance(d as f64) > THRESHOLD);
                 if stays {
--- a/tests/chance.rs
+++ b/tests/chance.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use swiftsail::chance::{History, Pmf};
+use swiftsail::chance::{Histories, Pmf};
 
 fn runner() -> TestRunner {
     let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
@@ -77,13 +77,30 @@
 
 #[test]
 fn a_history_moves_from_the_estimate_to_what_was_seen() {
-    let mut history = History::default();
-    let prior = history.run_time("big", 10.0).clone();
+    let mut histories = Histories::default();
+    let history = histories.of(&"wk-1".into(), "c", 10.0);
+    let prior = history.run_time("big").clone();
     assert!((prior.mean() - 17_500.0).abs() < 1.0, "evenly from 5 s to 30 s");
     for _ in 0..50 {
         history.record("big", 8_000);
     }
-    let learnt = history.run_time("big", 10.0);
+    let learnt = history.run_time("big");
     assert!(learnt.chance(9_500.0) > 0.9, "chance {}", learnt.chance(9_500.0));
     assert!(learnt.chance(7_000.0) < 0.1);
 }
+
+#[test]
+fn a_class_teaches_its_next_job_how_far_estimates_miss() {
+    let mut histories = Histories::default();
+    for job in 0..12 {
+        for _ in 0..100 {
+            // Estimated at 10 s, run 12 s; one job alone must not speak for its class.
+            histories.finished(&format!("wk-{job}").as_str().into(), "c", 10.0, "big", 12_000);
+        }
+        let prior = histories.prior("c", 100.0);
+        assert_eq!(job < 2, (prior.mean() - 175_000.0).abs() < 1.0, "after job {job}");
+    }
+    let prior = histories.prior("c", 100.0);
+    assert!((110_000.0..130_000.0).contains(&prior.mean()), "mean {}", prior.mean());
+    assert!((histories.prior("other", 100.0).mean() - 175_000.0).abs() < 1.0);
+}
