Preemption for every replica, as soon as its class's aim asks

Cause: room was made for one replica of a service only, and only where 8 s were to be gained, though replicas come 2 to 16 at a time and one class should run within 5 s.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -244,6 +244,8 @@
 pub const RESERVE_IMAGES: usize = 8;
 /// Time that a service must gain by it before tasks of lower priority are stopped for it, ms.
 pub const PREEMPT_GAIN_MS: f64 = 8_000.0;
+/// Time that binding and starting a task takes beside its image's fetch, ms: a pass, a commit.
+pub const START_MS: f64 = 1_000.0;
 /// Reports after which a stopped task's room is taken to be free for the next.
 pub const PREEMPT_REPORTS: f64 = 2.0;
 /// Time a service waits for room made for it, ms, before it takes any other.
--- a/src/placement/preempt.rs
+++ b/src/placement/preempt.rs
@@ -21,36 +21,66 @@
 }
 
 impl Round<'_, '_> {
-    /// Makes room for services by stopping tasks of lower priority, where that starts them clearly
-    /// sooner than any free room would. The service then waits a moment for that room.
+    /// Makes room for services by stopping tasks of lower priority, where that starts replicas
+    /// clearly sooner than any free room would. Those replicas then wait a moment for that room.
     pub fn preempt(&mut self, choosers: &mut [Chooser]) {
         let now = self.ctx.now;
         let soon = self.ctx.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
         for c in choosers.iter_mut().filter(|c| c.spec.kind == Kind::Service && c.left > 0) {
             c.search(true);
             let since = self.leader.preempting.get(&c.id).copied();
+            let enough = self.soon_enough(c, soon);
             // Any place as good as the one being made will do.
-            let goal = since.map_or(0.0, |(_, fetch)| fetch + soon).max(PREEMPT_GAIN_MS);
-            let best = self.best(c).map_or(f64::MAX, |(_, s)| s.mean - now as f64);
-            if best <= goal || since.is_some_and(|(at, _)| now > at + PREEMPT_WAIT_MS) {
+            let goal = since.map_or(0.0, |(_, fetch)| fetch + soon).max(enough);
+            let best = loop {
+                match self.best(c) {
+                    Some((index, s)) if c.left > 0 && s.mean - now as f64 <= goal => {
+                        if !self.within_limit(c.team, &c.spec) || !self.take(c, index) {
+                            break f64::MAX;
+                        }
+                    }
+                    Some((_, s)) => break s.mean - now as f64,
+                    None => break f64::MAX,
+                }
+            };
+            if c.left == 0 || since.is_some_and(|(at, _)| now > at + PREEMPT_WAIT_MS) {
                 continue;
             }
-            if since.is_none() {
-                let limit = best - PREEMPT_GAIN_MS - soon;
-                let Some((fetch, victims)) = self.victims(c, limit) else { continue };
-                self.leader.preempting.insert(c.id.clone(), (now, fetch));
+            if since.is_some() {
+                c.left = 0;
+                continue;
+            }
+            let limit = best - enough - soon;
+            let mut made: f64 = -1.0;
+            while c.left > 0
+                && let Some((fetch, zone, victims)) = self.victims(c, limit)
+            {
+                made = made.max(fetch);
+                c.left -= 1;
+                c.enter(zone);
                 for (id, task) in victims {
                     let Some(job) = self.leader.jobs.get_mut(&id) else { continue };
                     if let Some(attempt) = job.attempts.get_mut(&task) {
-                        tracing::info!(job = %id, task, machine = %attempt.machine, by = %c.id, "task preempted");
+                        tracing::debug!(job = %id, task, machine = %attempt.machine, by = %c.id, "task preempted");
                         attempt.stop.get_or_insert((now, 0));
                     }
                 }
             }
-            c.left = 0;
+            if made >= 0.0 {
+                self.leader.preempting.insert(c.id.clone(), (now, made));
+            }
         }
     }
 
+    /// How soon a replica should run, ms, before others are stopped for it: as its class's aim
+    /// asks, less what the start itself takes.
+    fn soon_enough(&self, c: &Chooser, soon: f64) -> f64 {
+        let aims = self.ctx.settings.settings.objectives.iter();
+        let own = aims.filter(|o| o.kind == "wait" && o.class.as_deref() == Some(&c.spec.class));
+        let within = own.filter_map(|o| o.within_s).fold(f64::MAX, f64::min) * MS_PER_S;
+        PREEMPT_GAIN_MS.min(within - soon - START_MS).max(0.0)
+    }
+
     /// Machines with tasks that could be stopped, found once in a pass. Those on which room is
     /// already being made are for another.
     fn candidates(&mut self) -> Vec<Candidate> {
@@ -94,7 +124,7 @@
 
     /// The tasks whose stop makes room for a service, and the fetch it then needs: least, and
     /// within `limit` ms; among equals, what loses the least work.
-    fn victims(&mut self, c: &Chooser, limit: f64) -> Option<(f64, Tasks)> {
+    fn victims(&mut self, c: &Chooser, limit: f64) -> Option<(f64, usize, Tasks)> {
         if self.candidates.is_none() {
             self.candidates = Some(self.candidates());
         }
@@ -132,9 +162,17 @@
             }
         }
         let (fetch, _, index, chosen) = best?;
-        if let Some(candidates) = &mut self.candidates {
-            candidates[index].tasks.clear();
+        let mut zone = 0;
+        if let Some(m) = self.candidates.as_mut().map(|all| &mut all[index]) {
+            zone = m.zone;
+            // What is left of it may make room for another.
+            for (id, task) in &chosen {
+                if let Some(n) = m.tasks.iter().position(|t| t.1 == *id && t.2 == *task) {
+                    m.room.give(&m.tasks.remove(n).3);
+                }
+            }
+            m.room.take(&Room::of(&c.spec));
         }
-        Some((fetch, chosen))
+        Some((fetch, zone, chosen))
     }
 }
