Replicas that keep a machine nearly empty move beside others, and it is returned

One replica at a time of a service that lacks none moves, only while nothing waits, only where its image is (or a fetch of 2.5 s).

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -174,6 +174,19 @@
 pub const IDLE_MS: u64 = 25_000;
 /// Time between looks for idle machines, ms (processor).
 pub const IDLE_CHECK_MS: u64 = 1_000;
+/// Time between two moves of replicas, ms: one replica restarts within it.
+pub const MOVES_MS: u64 = 1_500;
+/// Machines emptied by moves at once.
+pub const DRAINS_MOST: usize = 2;
+/// A machine is emptied if it costs this many times what its replicas would on a full machine of
+/// the cheapest type: a move costs a replica a few seconds, a machine half empty costs for minutes.
+pub const MOVE_RATIO: f64 = 1.9;
+/// Machines for which a step looks for room elsewhere (processor).
+pub const MOVE_TRIES: usize = 8;
+/// Time that a replica runs before it may be moved, ms: a start counts once it has run for 30 s.
+pub const MOVE_AGE_MS: u64 = 45_000;
+/// Longest fetch for which a replica is moved, ms.
+pub const MOVE_FETCH_MS: f64 = 2_500.0;
 /// Errors of different jobs on one machine, without a success between, that make it suspect.
 pub const SUSPECT_JOBS: usize = 2;
 /// Machines on which a job must fail before the job itself is suspected.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Renting and returning machines.
 
+mod moves;
+
 use crate::cloud::{Call, Outcome};
 use crate::cluster::Ctx;
 use crate::cluster::leader::Leader;
@@ -45,6 +47,7 @@
     pub left_over: Vec<String>,
     listed_at: Time,
     idle_at: Time,
+    moved_at: Time,
     typed_at: Time,
     listing: bool,
 }
@@ -219,6 +222,7 @@
     if sure {
         lost(leader, ctx);
         idle(leader, ctx);
+        moves::consolidate(leader, ctx);
     }
     drain(leader, ctx);
     // One return waits or flies at a time, and takes all that has come up: a wave of machines lost
