--- a/src/cluster/leader.rs
+++ b/src/cluster/leader.rs
@@ -48,6 +48,8 @@
     pub round_at: Time,
     /// Services for which room is being made: since when, and the fetch they will need there, ms.
     pub preempting: HashMap<JobId, (Time, f64)>,
+    /// Scores computed so far: what passes cost, whatever the machine's speed.
+    pub scored: u64,
     /// When the status was last told.
     status_at: Time,
     /// Something changed that a pass may use.
@@ -97,6 +99,7 @@
             passed_at: 0,
             round_at: now,
             preempting: HashMap::new(),
+            scored: 0,
             status_at: now,
             stir: true,
             launches: 0,
--- a/src/placement/chooser.rs
+++ b/src/placement/chooser.rs
@@ -157,6 +157,7 @@
         if let Some(score) = c.scores.get(&(end, here)) {
             return *score;
         }
+        self.leader.scored += 1;
         let t = &self.types[kind];
         let fetch = if here { 0.0 } else { t.fetch_ms(&c.spec) };
         let before = self.ends.get(end);
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,337 @@
+//! What a leader with a thousand machines and a hundred thousand tasks does, counted in work items
+//! and bytes: never in time.
+
+mod standin;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use swiftsail::cloud::{self, Cloud};
+use swiftsail::cluster::leader::{Leader, Source};
+use swiftsail::cluster::{Ctx, Purpose};
+use swiftsail::constants::*;
+use swiftsail::fleet;
+use swiftsail::job::{JobRecord, Kind, Priority, Spec, Stage, keys};
+use swiftsail::machine::MachineType;
+use swiftsail::placement;
+use swiftsail::settings::Settings;
+use swiftsail::store::{Call, Outcome, Store};
+use swiftsail::wire::state::{Change, Commit};
+use swiftsail::wire::workers::{Phase, Report, Shard};
+
+const TOKEN: u64 = 40;
+
+struct Bench {
+    leader: Leader,
+    store: Store<Purpose>,
+    cloud: Cloud,
+    settings: Arc<Settings>,
+    types: Arc<Vec<MachineType>>,
+    direct: Vec<(String, swiftsail::wire::workers::Direct)>,
+    now: u64,
+    stamp: u64,
+    tick: u64,
+}
+
+macro_rules! ctx {
+    ($b:expr) => {
+        &mut Ctx {
+            now: $b.now,
+            wall: $b.now,
+            settings: &$b.settings,
+            types: Some($b.types.clone()),
+            store: &mut $b.store,
+            cloud: &mut $b.cloud,
+            direct: &mut $b.direct,
+        }
+    };
+}
+
+fn spec(kind: Kind, tasks: u32, cpus: f64, image: &str) -> Spec {
+    Spec {
+        class: format!("{kind:?}"),
+        team: "blue".into(),
+        kind,
+        priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 0.5,
+        image: image.into(),
+        image_gb: 0.1,
+        types: None,
+        zone: None,
+        one_zone: kind == Kind::Gang,
+        spread: false,
+        spot: kind != Kind::Service,
+        estimate_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: (kind == Kind::Array).then_some(600.0),
+    }
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let now = standin::BEGIN;
+        let kind = |name: &str, cpus: f64, price: f64| MachineType {
+            name: name.into(),
+            cpus,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch: 0.5,
+            price,
+            spot_price: price / 3.0,
+            boot_ms: 20_000.0,
+            zones: vec!["a".into(), "b".into(), "c".into()],
+        };
+        Bench {
+            leader: Leader::new(TOKEN, 1, now),
+            store: Store::new(150.0, 30.0, now),
+            cloud: Cloud::new(4.0, now),
+            settings: standin::settings(0),
+            types: Arc::new(vec![kind("s4", 4.0, 0.3), kind("l64", 64.0, 3.3)]),
+            direct: Vec::new(),
+            now,
+            stamp: 100,
+            tick: 1,
+        }
+    }
+
+    fn report(&mut self, name: &str, hull: &str, tick: u64, shards: Vec<Shard>) -> usize {
+        let report = Report {
+            berth: name.into(),
+            addr: "10.0.0.9:1".into(),
+            hull: hull.into(),
+            dock: if name.starts_with("m-b") { "b" } else { "a" }.into(),
+            driftwood: false,
+            watch: 1,
+            tick,
+            helm: TOKEN,
+            recall_s: None,
+            shards,
+        };
+        self.leader.on_report(&report, Source::Report, ctx!(self)).orders.len()
+    }
+
+    fn machines(&mut self, number: usize, hull: &str) {
+        for n in 0..number {
+            self.report(&format!("m-{hull}-{n:05}"), hull, 1, Vec::new());
+        }
+    }
+
+    fn submit(&mut self, id: &str, spec: Spec) {
+        let record = JobRecord {
+            cancelled: false,
+            cancelled_wall: 0,
+            accepted_wall: self.now,
+            chunk_tasks: 80,
+            nonce: 0,
+            spec,
+        };
+        let value = serde_json::to_value(&record).expect("our own record");
+        self.stamp += 1;
+        self.leader.upsert(&keys::job(id), &value, self.stamp, self.now, self.now);
+    }
+
+    fn pass(&mut self) -> u64 {
+        let before = self.leader.scored;
+        self.now += ROUND_MS;
+        placement::pass(&mut self.leader, ctx!(self), true);
+        self.leader.scored - before
+    }
+
+    /// Every machine reports that all bound to it runs.
+    fn beat(&mut self) {
+        self.tick += 1;
+        let machines = self.leader.machines.values();
+        let held: Vec<(String, String, Vec<Shard>)> = machines
+            .map(|m| {
+                let bound = m.tasks.iter().filter(|((job, task), _)| {
+                    self.leader.jobs[job].attempts[task].stage() != Stage::Committing
+                });
+                let shards = bound.map(|((job, task), launch)| Shard {
+                    shard: format!("{job}/{task}"),
+                    launch: *launch,
+                    status: Phase::Running,
+                    cause: None,
+                    stored: None,
+                });
+                (m.id.to_string(), m.kind.clone(), shards.collect())
+            })
+            .collect();
+        for (name, hull, shards) in held {
+            self.report(&name, &hull, self.tick, shards);
+        }
+    }
+
+    /// Lets everything that waits for the store be committed, and gives it.
+    fn commit(&mut self) -> Vec<Commit> {
+        let mut seen = Vec::new();
+        for _ in 0..200 {
+            self.now += 1_000;
+            self.leader.write_ledger(ctx!(self));
+            self.leader.flush_all(ctx!(self));
+            let (calls, _) = self.store.pump(self.now);
+            if calls.is_empty() {
+                break;
+            }
+            for (id, call) in calls {
+                if let Call::Commit(commit) = &call {
+                    seen.push(commit.clone());
+                }
+                self.stamp += 1;
+                let Some(end) = self.store.finish(id, Outcome::Committed(self.stamp), self.now)
+                else {
+                    continue;
+                };
+                match end.purpose.clone() {
+                    Purpose::Ledger { .. } => assert!(!self.leader.on_ledger(&end, ctx!(self))),
+                    Purpose::Flush { job, .. } => {
+                        assert!(!self.leader.on_flushed(&job, &end, ctx!(self)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        seen
+    }
+}
+
+#[test]
+fn a_pass_does_not_score_each_machine_for_each_job() {
+    let scored = |machines: usize| {
+        let mut bench = Bench::new();
+        bench.machines(machines, "s4");
+        for n in 0..40 {
+            bench.submit(&format!("wk-{n}"), spec(Kind::Array, 200, 1.0, &format!("i{}", n % 5)));
+        }
+        (0..3).map(|_| bench.pass()).max().unwrap_or(0)
+    };
+    let (few, many) = (scored(50), scored(1_000));
+    assert!(few > 0, "the work is counted");
+    assert!(many <= 3 * few, "{few} scores for 50 machines, {many} for 1,000");
+}
+
+#[test]
+fn a_hundred_thousand_tasks_stay_within_the_limits_of_the_store() {
+    let mut bench = Bench::new();
+    bench.machines(1_000, "l64");
+    bench.submit("wk-large", spec(Kind::Array, 100_000, 1.0, "i"));
+    let limits = &bench.settings.settings.state.clone();
+    let mut bound = 0;
+    for _ in 0..20 {
+        bench.beat();
+        bench.pass();
+        let job = &bench.leader.jobs["wk-large"];
+        let binding = job.attempts.values().filter(|a| a.stage() == Stage::Committing).count();
+        assert!(binding <= PASS_BINDS + 50, "{binding} bound in one pass");
+        for commit in bench.commit() {
+            assert!(commit.apply.len() <= limits.txn_ops);
+            assert!(commit.when.len() <= 4 * limits.txn_ops);
+            let size = |c: &Change| serde_json::to_string(c).map_or(0, |s| s.len());
+            let sizes: Vec<usize> = commit.apply.iter().map(size).collect();
+            let most = (limits.value_kb * 1024.0) as usize + 64;
+            assert!(sizes.iter().all(|s| *s <= most), "a value of {sizes:?}");
+            assert!(sizes.iter().sum::<usize>() <= 64 * 1024);
+        }
+        let job = &bench.leader.jobs["wk-large"];
+        bound = job.attempts.values().filter(|a| a.stage() != Stage::Committing).count();
+        assert!(bench.leader.ledger.len() <= LEDGER_MOST);
+    }
+    assert!(bound > 4_000, "{bound} tasks bound: chunks take over what the ledger held");
+}
+
+#[test]
+fn bindings_of_many_jobs_are_one_change() {
+    let mut bench = Bench::new();
+    bench.machines(100, "s4");
+    for n in 0..30 {
+        bench.submit(&format!("wk-{n}"), spec(Kind::Array, 3, 1.0, "i"));
+    }
+    bench.pass();
+    bench.leader.write_ledger(ctx!(bench));
+    let (calls, _) = bench.store.pump(bench.now);
+    let changes: usize =
+        calls.iter().map(|(_, c)| if let Call::Commit(c) = c { c.apply.len() } else { 0 }).sum();
+    assert!(changes <= 2, "{changes} changes for 90 bindings of 30 jobs");
+}
+
+#[test]
+fn a_burst_asks_each_market_once_and_for_no_more_than_a_request_holds() {
+    let mut bench = Bench::new();
+    bench.submit("wk-large", spec(Kind::Array, 100_000, 1.0, "i"));
+    bench.pass();
+    bench.pass();
+    bench.now += 60_000;
+    let mut asked: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+    for call in std::iter::from_fn(|| {
+        bench.now += 1_000;
+        let calls = bench.cloud.pump(bench.now);
+        for _ in &calls {
+            bench.cloud.finish(&cloud::Outcome::NoCapacity, bench.now);
+        }
+        (!calls.is_empty()).then_some(calls)
+    })
+    .flatten()
+    {
+        if let cloud::Call::Rent(rent) = call {
+            assert!(rent.number <= RENT_MOST);
+            *asked.entry((rent.hull, rent.dock, rent.driftwood)).or_default() += 1;
+        }
+    }
+    assert!(!asked.is_empty());
+    assert!(asked.values().all(|n| *n as usize <= RENTALS_OPEN_MOST), "{asked:?}");
+}
+
+#[test]
+fn replicas_move_one_at_a_time_and_only_where_they_fit() {
+    let mut bench = Bench::new();
+    bench.machines(2, "l64");
+    bench.submit("wk-s", spec(Kind::Service, 3, 4.0, "i"));
+    bench.pass();
+    bench.commit();
+    let at = |bench: &Bench, job: &str, n: u32| bench.leader.jobs[job].attempts[&n].machine.clone();
+    let first = at(&bench, "wk-s", 0);
+    let other = if &*first == "m-l64-00000" { "m-l64-00001" } else { "m-l64-00000" };
+    assert_eq!(at(&bench, "wk-s", 2), first, "replicas gather on one machine");
+    bench.beat();
+    bench.submit("wk-t", spec(Kind::Service, 1, 61.0, "i"));
+    bench.pass();
+    bench.commit();
+    assert_eq!(&*at(&bench, "wk-t", 0), other);
+    let stopped = |bench: &Bench| {
+        let jobs = bench.leader.jobs.values();
+        jobs.flat_map(|j| j.attempts.values()).filter(|a| a.stop.is_some()).count()
+    };
+    let step = |bench: &mut Bench| {
+        bench.now += 5_000;
+        bench.beat();
+        bench.store.last_ok = Some(bench.now);
+        fleet::tick(&mut bench.leader, ctx!(bench));
+    };
+    // The other is full: nothing fits there, however costly this one is.
+    for _ in 0..20 {
+        step(&mut bench);
+        assert_eq!(stopped(&bench), 0);
+    }
+    // A third machine with replicas and room: now they move, one by one.
+    bench.report("m-b-00007", "l64", bench.tick, Vec::new());
+    bench.submit("wk-u", Spec { zone: Some("b".into()), ..spec(Kind::Service, 8, 6.0, "i") });
+    bench.pass();
+    bench.commit();
+    assert_eq!(&*at(&bench, "wk-u", 7), "m-b-00007");
+    bench.beat();
+    bench.submit("wk-v", spec(Kind::Service, 1, 1.0, "i"));
+    for _ in 0..20 {
+        step(&mut bench);
+        assert_eq!(stopped(&bench), 0, "a service waits: nothing moves");
+    }
+    bench.pass();
+    bench.commit();
+    for _ in 0..20 {
+        step(&mut bench);
+        assert!(stopped(&bench) <= 1, "one replica at a time");
+    }
+    assert_eq!(stopped(&bench), 1, "the machine that is nearly empty is emptied");
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -641,6 +641,22 @@
                 found.push(format!("wrong_place: {id} not spread"));
             }
         }
+        // The leader counts a machine's room only when its work has changed: never to miss one.
+        for table in self.nodes.iter().flatten().filter_map(Node::tables) {
+            for machine in table.machines.values() {
+                let total = if machine.kind == "s4" { 4.0 } else { 8.0 };
+                let held = machine.tasks.keys().filter_map(|(job, task)| {
+                    let job = table.jobs.get(job)?;
+                    job.attempts.get(task).is_some_and(|a| a.occupies()).then_some(job.spec.cpus)
+                });
+                let unknown = machine.strays.values().any(Option::is_none);
+                let strays: f64 = machine.strays.values().flatten().map(|r| r.cpus).sum();
+                let left = total - held.sum::<f64>() - strays;
+                if machine.free().is_some_and(|f| !unknown && (f.cpus - left).abs() > 1e-6) {
+                    found.push(format!("miscounted: {} holds {:?}", machine.id, machine.free()));
+                }
+            }
+        }
         if red > 40.0 + 1e-6 {
             found.push(format!("quota: red uses {red}"));
         }
