--- a/tests/states.rs
+++ b/tests/states.rs
@@ -2,7 +2,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use swiftsail::job::{Attempt, Chunk, Job, JobRecord, JobState, Kind, Priority, Spec, Stage};
+use swiftsail::job::{
+    Attempt, Bound, Chunk, Job, JobRecord, JobState, Kind, Priority, Spec, Stage,
+};
 use swiftsail::machine::{Machine, Standing};
 use swiftsail::settings::Settings;
 use swiftsail::term::{Phase, Term, Voucher, may_answer};
@@ -225,3 +227,54 @@
         assert!(error.contains(field) && error.contains('f'), "{error}");
     }
 }
+
+/// A new leader knows every binding that may run: those of the chunks, and those that only the
+/// ledger holds yet, even where a sheet still lists what a chunk has taken over.
+#[test]
+fn chunks_and_ledger_together_hold_every_binding() {
+    let steps = prop::collection::vec((0..20u32, 0..4u8, any::<bool>()), 0..80);
+    runner()
+        .run(&steps, |steps| {
+            let mut job = job(20);
+            let (mut launch, mut sheet): (u64, Vec<Bound>) = (0, Vec::new());
+            let mut chunks: [Option<Chunk>; 3] = [None, None, None];
+            for (task, what, stale) in steps {
+                match what {
+                    0 if job.waiting.remove(&task) => {
+                        launch += 1;
+                        let mut attempt = Attempt::new(launch, "m-1".into(), 1, 0);
+                        attempt.advance(Stage::Bound, 0);
+                        job.attempts.insert(task, attempt);
+                        sheet.push(Bound { task, launch, machine: "m-1".into(), watch: 1 });
+                    }
+                    1 => drop(job.release(task, 0)),
+                    2 if job.attempts.remove(&task).is_some() => drop(job.done.insert(task)),
+                    3 => {
+                        let chunk = job.chunk_of(task);
+                        chunks[chunk as usize] = Some(job.chunk(chunk, 1, launch));
+                        // A sheet lets go of what was taken over only when it is next written.
+                        sheet.retain(|b| stale || job.chunk_of(b.task) != chunk);
+                    }
+                    _ => {}
+                }
+            }
+            let mut next = self::job(20);
+            for (n, chunk) in chunks.iter().enumerate() {
+                if let Some(chunk) = chunk {
+                    next.restore(n as u32, chunk, 9, 0);
+                }
+            }
+            for bound in &sheet {
+                next.restore_later(bound, 0);
+            }
+            for (task, attempt) in &job.attempts {
+                let known = next.attempts.get(task).map(|a| a.launch);
+                prop_assert_eq!(known, Some(attempt.launch), "task {}", task);
+            }
+            for task in chunks.iter().flatten().flat_map(|c| &c.done).flat_map(|(f, t)| *f..=*t) {
+                prop_assert!(next.done.contains(&task) && !next.attempts.contains_key(&task));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
