A controller that lost the leader does not name it to the workers of its own zone

Cause: a worker that cannot reach the leader went to its own zone's controller, which named the unreachable leader again (4 s of silence, 1 s of pause, and back), so it never tried the third controller.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -788,15 +788,23 @@
             let fresh = now.saturating_sub(peer.voucher.heard) <= BEAT_FRESH_MS;
             (fresh && peer.leads).then(|| l.clone())
         });
-        let Some(leader) = near else {
-            let reply = self.redirect();
-            return self.actions.push(Action::Reply(id, reply));
-        };
         if self.passed.len() >= RELAYED_MOST {
             self.passed.clear();
         }
         let passed = self.passed.entry(report.berth.clone()).or_default();
         let recent = |at: Time| at > 0 && now.saturating_sub(at) <= CAME_BACK_MS;
+        let Some(leader) = near else {
+            // Where this node has lost the leader, a worker of its zone will not reach it either:
+            // named again and again, the leader would keep it from ever trying the third node.
+            let lost = self.term.leader.as_ref().is_some_and(|l| self.peers.contains_key(l));
+            let reply = if lost && report.dock == self.settings.site || recent(passed.redirected) {
+                Reply::new(421, &Redirect { harbor: None })
+            } else {
+                passed.redirected = now;
+                self.redirect()
+            };
+            return self.actions.push(Action::Reply(id, reply));
+        };
         if now >= passed.relay_until && recent(passed.redirected) {
             passed.relay_until = now + RELAY_MS;
         } else if now >= passed.relay_until && recent(passed.relayed) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,10 @@
 mod standin;
 
 use standin::{Weather, World, job};
+use swiftsail::cluster::{Action, Event, Node, Now};
+use swiftsail::wire::controllers::Beat;
+use swiftsail::wire::read;
+use swiftsail::wire::workers::{Redirect, Report};
 
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 const ROUGH: Weather = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
@@ -78,3 +82,45 @@
     assert!(world.store.largest_txn <= 64 * 1024, "transaction of {}", world.store.largest_txn);
     assert!(world.store.largest_value <= 8 * 1024);
 }
+
+/// Two zones that cannot reach each other: a worker that its own zone's controller keeps sending
+/// to the unreachable leader would never try the controller that reaches both.
+#[test]
+fn a_controller_that_lost_the_leader_does_not_name_it_to_its_own_zone() {
+    let mut now = Now { steady: standin::BEGIN, wall: 1_000_000 };
+    let mut node = Node::new(standin::settings(1), 7, now);
+    let beat = Beat { node: "n0".into(), token: 9, leads: true, store_age_ms: 0, counts: vec![] };
+    node.handle(Event::Beat(beat), now);
+    node.take_actions();
+    let answer = |node: &mut Node, berth: &str, dock: &str, now: Now| {
+        let report = Report {
+            berth: berth.into(),
+            addr: String::new(),
+            hull: "s4".into(),
+            dock: dock.into(),
+            driftwood: false,
+            watch: 1,
+            tick: now.steady,
+            helm: 9,
+            recall_s: None,
+            shards: Vec::new(),
+        };
+        node.handle(Event::Report(1, Box::new(report), false), now);
+        node.take_actions().into_iter().find_map(|action| match action {
+            Action::Reply(1, reply) => {
+                assert_eq!(reply.status, 421);
+                let redirect = read::<Redirect>(&reply.body).expect("our own message");
+                Some(redirect.harbor.unwrap_or("next".into()))
+            }
+            Action::Relay(1, to, _) => Some(format!("relayed to {to}")),
+            _ => None,
+        })
+    };
+    let to = |text: &str| Some(text.to_string());
+    assert_eq!(answer(&mut node, "m-1", "a", now), to("relayed to n0"));
+    now.steady += 60_000;
+    assert_eq!(answer(&mut node, "m-1", "a", now), to("next"), "a worker of this zone");
+    assert_eq!(answer(&mut node, "m-2", "b", now), to("n0"), "another may reach the leader");
+    now.steady += 6_000;
+    assert_eq!(answer(&mut node, "m-2", "b", now), to("next"), "it came back: it could not");
+}
