--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -364,7 +364,7 @@
             [fits(false), fits(true)]
         })
         .collect();
-    let mut reserve = Reserve::count(leader, &types, now);
+    let mut reserve = Reserve::count(leader, &types);
     for id in empty {
         let Some(machine) = leader.machines.get_mut(&id) else { continue };
         let kind = types.iter().position(|t| t.name == machine.kind);
--- a/src/placement/places.rs
+++ b/src/placement/places.rs
@@ -119,7 +119,7 @@
 
 impl Reserve {
     /// Counts over all machines.
-    pub fn count(leader: &mut Leader, types: &[MachineType], now: Time) -> Reserve {
+    pub fn count(leader: &mut Leader, types: &[MachineType]) -> Reserve {
         leader.count_rooms(types);
         let mut classes: BTreeMap<&str, &Arc<Spec>> = BTreeMap::new();
         for job in leader.jobs.values().filter(|j| j.spec.kind == Kind::Service && !j.cancelled()) {
@@ -128,11 +128,6 @@
         let classes: Vec<Arc<Spec>> = classes.into_values().cloned().collect();
         let mut reserve = Reserve { classes: classes.into_iter().map(|s| (s, 0)).collect() };
         for machine in leader.machines.values() {
-            let kind = types.iter().find(|t| t.name == machine.kind);
-            let comes = kind.is_some_and(|t| machine.may_come(t.boot_ms, leader.since, now));
-            if machine.heard.is_none() && !comes {
-                continue;
-            }
             for (spec, found) in &mut reserve.classes {
                 *found += holds(machine, types, spec);
             }
@@ -156,9 +151,10 @@
     }
 }
 
-/// Tasks of a service that a machine could take at once, or once it is up.
+/// Tasks of a service that a machine could take at once. One that boots does not count: a machine
+/// that is up was returned for one that came up a minute late, and a service waited for it.
 fn holds(machine: &Machine, types: &[MachineType], spec: &Spec) -> u32 {
-    let able = matches!(machine.standing(), Standing::Expected | Standing::Ready);
+    let able = machine.standing() == Standing::Ready;
     let Some(kind) = types.iter().find(|t| t.name == machine.kind) else { return 0 };
     if !able
         || machine.suspect
