Room for 4 tasks of each service class is kept instead of 2

Cause: replicas packed on few machines leave no slack by chance, so a service that comes while boots fail waits for one.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -256,7 +256,7 @@
 pub const RUN_UNIT_MS: u64 = 100;
 /// Service tasks of each class for which room is kept free, so that a new one need not wait for
 /// a boot.
-pub const RESERVE_TASKS: u32 = 2;
+pub const RESERVE_TASKS: u32 = 4;
 /// Tasks of a service's size for which each image that services use keeps room on a machine that
 /// has it: a fetch would make a new one late.
 pub const RESERVE_PER_IMAGE: u32 = 2;
