--- a/src/placement/chooser.rs
+++ b/src/placement/chooser.rs
@@ -17,9 +17,9 @@
     pub mean: f64,
 }
 
-/// Order of places for a chooser: highest chance, then soonest, then what keeping the machine for
-/// it costs, then the fullest machine, so that others can be returned.
-type Rank = Reverse<(i64, i64, i64, i64, usize)>;
+/// Order of places for a chooser: highest chance, then soonest, then the fullest machine, so that
+/// others can be returned.
+type Rank = Reverse<(i64, i64, i64, usize)>;
 
 /// A job that has tasks to place.
 pub(super) struct Chooser {
@@ -178,17 +178,7 @@
         let place = &self.places[index];
         let chance = -(score.chance * 50.0).round() as i64;
         let mean = (score.mean / MS_PER_S).round() as i64;
-        // A replica holds its machine for long: one that holds replicas already costs nothing more,
-        // another its whole price once the short work on it is done.
-        // Short work comes first where replicas are, then where its room is cheapest, so that dear
-        // machines are the ones that empty.
-        let cost = self.types[place.kind].cost(place.spot);
-        let keep = match c.spec.kind {
-            _ if place.anchored => 0,
-            Kind::Service => (cost * 1e3) as i64,
-            _ => (cost / self.types[place.kind].cpus.max(1.0) * 1e4) as i64,
-        };
-        (Reverse((chance, mean, keep, (place.room.cpus * 1e3) as i64, index)), place.end)
+        (Reverse((chance, mean, (place.room.cpus * 1e3) as i64, index)), place.end)
     }
 
     /// The best place for a chooser's next task, if any suits. Places only get fuller and later
@@ -285,7 +275,6 @@
                     return false;
                 }
                 self.places[index].room.take(&each);
-                self.places[index].anchored |= c.spec.kind == Kind::Service;
             }
             What::Line(slot) => {
                 let Some(job) = self.leader.jobs.get_mut(&c.id) else { return false };
@@ -299,7 +288,6 @@
             What::Boot | What::Rental => {
                 let place = &mut self.places[index];
                 place.room.take(&each);
-                place.anchored |= c.spec.kind == Kind::Service;
                 // The same image is fetched once.
                 if !place.images.contains(&c.image) {
                     place.images.push(c.image);
--- a/src/placement/places.rs
+++ b/src/placement/places.rs
@@ -36,8 +36,6 @@
     pub room: Room,
     /// What of the room is kept for services.
     pub kept: Room,
-    /// Replicas are on it: it stays anyway, and one more costs nothing.
-    pub anchored: bool,
     /// When what is before it ends.
     pub end: EndId,
     /// Numbers of the images there that this round asks for.
@@ -245,7 +243,6 @@
                 spot: machine.spot,
                 room: t.room(),
                 kept: Room::default(),
-                anchored: machine.anchored(),
                 end: 0,
                 images: Vec::new(),
             };
@@ -305,7 +302,6 @@
                 spot: wish.spot,
                 room: types[kind].room(),
                 kept: Room::default(),
-                anchored: false,
                 end: self.free_at(kind, up),
                 images: Vec::new(),
             };
--- a/src/placement/rental.rs
+++ b/src/placement/rental.rs
@@ -92,7 +92,6 @@
             spot,
             room: self.types[kind].room(),
             kept: Room::default(),
-            anchored: false,
             end,
             images: Vec::new(),
         });
