Tidy: rooms counted once a line, moves leave at once while work waits, one count of the ledger

No change of behaviour. Promoting from a line recounted all rooms for each job popped, though only a binding changes them and a binding ends the loop; a step of moves looked for places before asking whether it may move anything; the ledger counted its entries in two places.

--- a/src/cluster/ledger.rs
+++ b/src/cluster/ledger.rs
@@ -75,8 +75,7 @@
 
     /// Bindings that the ledger may still take: what is beyond waits for chunks to take some over.
     pub fn room(&self) -> usize {
-        let held: usize = self.sheets.iter().map(|s| s.entries.len()).sum();
-        LEDGER_MOST.saturating_sub(held)
+        LEDGER_MOST.saturating_sub(self.len())
     }
 
     /// Bindings on the sheets.
--- a/src/fleet/moves.rs
+++ b/src/fleet/moves.rs
@@ -2,7 +2,6 @@
 //! returned. Replicas end at different times, and what is left of them would else hold many
 //! machines for a few tasks. A service of a single replica is never moved: it would be down.
 
-use super::Fleet;
 use crate::cluster::Ctx;
 use crate::cluster::leader::Leader;
 use crate::constants::*;
@@ -24,17 +23,18 @@
     let Some(types) = ctx.types.clone() else { return };
     leader.count_rooms(&types);
     return_emptied(leader);
+    // Room is for what waits; and a service that lacks a replica is not disturbed further.
+    if leader.jobs.values().any(|j| !j.waiting.is_empty() && !j.cancelled()) {
+        return;
+    }
     let draining: Vec<MachineId> = leader
         .machines
         .values()
         .filter(|m| m.standing() == Standing::Draining)
         .map(|m| m.id.clone())
         .collect();
-    // Room is for what waits; and a service that lacks a replica is not disturbed further.
-    let waits = leader.jobs.values().any(|j| !j.waiting.is_empty() && !j.cancelled());
     for id in &draining {
         match next_move(leader, id, &types) {
-            _ if waits => {}
             Some((job, task)) => {
                 if let Some(attempt) =
                     leader.jobs.get_mut(&job).and_then(|j| j.attempts.get_mut(&task))
@@ -53,7 +53,7 @@
             }
         }
     }
-    if waits || draining.len() >= DRAINS_MOST {
+    if draining.len() >= DRAINS_MOST {
         return;
     }
     if let Some(id) = most_wasteful(leader, &types, now)
@@ -69,7 +69,7 @@
         m.standing() == Standing::Draining && m.tasks.is_empty() && m.strays.is_empty()
     };
     for machine in machines.values_mut().filter(empty) {
-        Fleet::want_return(fleet, machine, "it is emptied");
+        fleet.want_return(machine, "it is emptied");
     }
 }
 
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -145,15 +145,16 @@
     /// The next of a line takes the room that its head has left.
     fn promote(&mut self) {
         let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
+        let types = self.types.clone();
         for (slot, mut line) in self.leader.lines.headless(&self.leader.jobs) {
             let mut next = None;
             let machine = self.leader.machines.get(&slot.0);
             if machine.is_some_and(|m| usable(m, self.ctx.now, lease)) {
+                // A line before it may have bound to the same machine.
+                self.leader.count_rooms(&types);
+                let room = self.leader.machines.get(&slot.0).and_then(|m| m.free());
                 while let Some(id) = line.pop_front() {
                     give_back(&id, &mut self.leader.jobs);
-                    let types = self.types.clone();
-                    self.leader.count_rooms(&types);
-                    let room = self.leader.machines.get(&slot.0).and_then(|m| m.free());
                     let fits = self.leader.jobs.get(&id).is_some_and(|j| {
                         room.is_some_and(|r| r.holds(&j.spec)) && !j.waiting.is_empty() && open(j)
                     });
@@ -171,7 +172,6 @@
                 None => line.iter().for_each(|id| give_back(id, &mut self.leader.jobs)),
             }
         }
-        let types = self.types.clone();
         self.leader.count_rooms(&types);
     }
 
