--- a/src/chance/history.rs
+++ b/crates/core/src/chance/history.rs
@@ -2,22 +2,24 @@
 
 use super::Pmf;
 use crate::constants::*;
-use crate::job::JobId;
+use crate::job::{JobId, Spec};
 use hdrhistogram::Histogram;
+use std::cell::RefCell;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Histograms of the run times of one job's tasks.
 #[derive(Debug)]
 pub struct History {
     prior: Pmf,
     by_type: HashMap<String, Histogram<u16>>,
-    cached: HashMap<String, Pmf>,
+    cached: RefCell<HashMap<String, Arc<Pmf>>>,
 }
 
 impl History {
     /// Nothing seen yet: the run time lies where the prior says.
     pub fn new(prior: Pmf) -> History {
-        History { prior, by_type: HashMap::new(), cached: HashMap::new() }
+        History { prior, by_type: HashMap::new(), cached: RefCell::default() }
     }
 
     /// Notes a finish.
@@ -30,16 +32,18 @@
         if let Some(held) = self.by_type.get_mut(machine_type) {
             held.saturating_record((run_ms / RUN_UNIT_MS).clamp(1, RUN_MOST));
         }
-        self.cached.clear();
+        self.cached.borrow_mut().clear();
     }
 
-    /// The run time of a task on a machine type: the prior, and what was seen.
-    pub fn run_time(&mut self, machine_type: &str) -> &Pmf {
-        if !self.cached.contains_key(machine_type) {
-            let fresh = self.compute(machine_type);
-            self.cached.insert(machine_type.to_string(), fresh);
+    /// The run time of a task on a machine type: the prior, and what was seen. Computed once until
+    /// another finish is noted.
+    pub fn run_time(&self, machine_type: &str) -> Arc<Pmf> {
+        if let Some(known) = self.cached.borrow().get(machine_type) {
+            return known.clone();
         }
-        &self.cached[machine_type]
+        let fresh = Arc::new(self.compute(machine_type));
+        self.cached.borrow_mut().insert(machine_type.to_string(), fresh.clone());
+        fresh
     }
 
     fn compute(&self, machine_type: &str) -> Pmf {
@@ -69,16 +73,27 @@
 /// Run times of all jobs, and what each class has taught.
 #[derive(Debug, Default)]
 pub struct Histories {
-    by_job: HashMap<JobId, (History, u32)>,
+    by_job: RefCell<HashMap<JobId, (History, u32)>>,
     by_class: HashMap<String, Ratios>,
 }
 
 impl Histories {
-    /// The history of a job, begun if it is new.
-    pub fn of(&mut self, id: &JobId, class: &str, estimate_s: f64) -> &mut History {
-        let fresh = (!self.by_job.contains_key(id)).then(|| self.prior(class, estimate_s));
-        let fresh = || (History::new(fresh.unwrap_or_else(|| Pmf::at(0.0))), 0);
-        &mut self.by_job.entry(id.clone()).or_insert_with(fresh).0
+    /// The run time of a job's tasks on a machine type. What its class has taught by the time that it
+    /// is first asked for stays the job's prior.
+    pub fn run_time(&self, id: &JobId, spec: &Spec, machine_type: &str) -> Arc<Pmf> {
+        self.with(id, spec, |history, _| history.run_time(machine_type))
+    }
+
+    fn with<T>(&self, id: &JobId, spec: &Spec, f: impl FnOnce(&mut History, &mut u32) -> T) -> T {
+        let mut all = self.by_job.borrow_mut();
+        let (history, noted) = match all.get_mut(id) {
+            Some(known) => known,
+            None => {
+                let prior = self.prior(&spec.class, spec.estimate_s);
+                all.entry(id.clone()).or_insert((History::new(prior), 0))
+            }
+        };
+        f(history, noted)
     }
 
     /// The run time before anything is known of the job but its estimate: evenly from half to
@@ -92,21 +107,17 @@
     }
 
     /// Notes a finish.
-    pub fn finished(
-        &mut self,
-        id: &JobId,
-        class: &str,
-        estimate_s: f64,
-        machine_type: &str,
-        ms: u64,
-    ) {
-        self.of(id, class, estimate_s).record(machine_type, ms);
-        let Some((_, noted)) = self.by_job.get_mut(id) else { return };
+    pub fn finished(&mut self, id: &JobId, spec: &Spec, machine_type: &str, ms: u64) {
         // A job misses its estimate with all its tasks: no job teaches its class more than a few.
-        if estimate_s <= 0.0 || *noted >= RATIOS_PER_JOB {
+        let teaches = self.with(id, spec, |history, noted| {
+            history.record(machine_type, ms);
+            *noted += 1;
+            spec.estimate_s > 0.0 && *noted <= RATIOS_PER_JOB
+        });
+        if !teaches {
             return;
         }
-        *noted += 1;
+        let (class, estimate_s) = (spec.class.as_str(), spec.estimate_s);
         if !self.by_class.contains_key(class) && self.by_class.len() < CLASSES_MOST {
             let Ok(seen) = Histogram::new_with_bounds(1, RATIO_MOST, 2) else { return };
             let fresh = Ratios { seen, pmf: Pmf::even(PRIOR_LOW, PRIOR_HIGH), fresh_at: 0 };
@@ -130,6 +141,6 @@
 
     /// A job is over.
     pub fn forget(&mut self, id: &JobId) {
-        self.by_job.remove(id);
+        self.by_job.get_mut().remove(id);
     }
 }
--- a/src/cloud/mod.rs
+++ b/crates/core/src/cloud/mod.rs
@@ -1,10 +1,10 @@
 //! The cloud's client as a pure machine: order of calls and their rate.
 
+use crate::Time;
 use crate::constants::*;
-use crate::job::Time;
 use crate::store::Bucket;
-use crate::wire::cloud::{Berths, Listing, Rent, Types};
 use std::collections::VecDeque;
+use swiftsail_wire::cloud::{Berths, Listing, Rent, Types};
 
 /// A call to the cloud.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/core/src/constants.rs
@@ -0,0 +1,266 @@
+//! Every constant of the service, with its unit and the reason for its value.
+
+/// Milliseconds in a second.
+pub const MS_PER_S: f64 = 1000.0;
+
+// ---- term (leadership) -------------------------------------------------------------------------
+
+/// Time to live of the leader's grant, ms. Short, because a crashed leader is replaced only after
+/// it; long enough for two lost extensions and a few hundred ms of store latency.
+pub const GRANT_TTL_MS: u64 = 2_500;
+/// Time between extensions of the grant, ms: three tries within one time to live.
+pub const GRANT_EXTEND_MS: u64 = 700;
+/// Most random delay before a campaign, ms, so that nodes seldom collide.
+pub const CAMPAIGN_JITTER_MS: u64 = 150;
+/// Pause after a campaign that failed, ms.
+pub const CAMPAIGN_RETRY_MS: u64 = 500;
+/// Time between heartbeats to the other controllers, ms.
+pub const BEAT_MS: u64 = 500;
+/// A heartbeat older than this, ms, vouches for nothing.
+pub const BEAT_FRESH_MS: u64 = 1_800;
+/// Safety margin, ms, by which a fading leader stops answering reports before `cancel_s - lease_s`.
+pub const FADE_MARGIN_MS: u64 = 6_000;
+/// Least time, ms, that a leader without a store success keeps answering.
+pub const FADE_LEAST_MS: u64 = 2_000;
+
+// ---- calls -------------------------------------------------------------------------------------
+
+/// Timer step of a controller, ms. Work between steps is driven by events.
+pub const TICK_MS: u64 = 100;
+/// Timeout of one call to the state service, ms: a few hundred ms happen normally.
+pub const STORE_TIMEOUT_MS: u64 = 1_500;
+/// A user's call to the store is answered 503 after this, ms, below the 2 s users give a poll.
+pub const USER_STORE_TIMEOUT_MS: u64 = 1_200;
+/// Block time of a follow, ms. Long, since each follow opened counts as a request.
+pub const FOLLOW_BLOCK_MS: u64 = 10_000;
+/// Timeout of a follow, ms: its block time and some latency.
+pub const FOLLOW_TIMEOUT_MS: u64 = FOLLOW_BLOCK_MS + 2_500;
+/// First pause after the store refused or was silent, ms.
+pub const STORE_BACKOFF_MS: u64 = 200;
+/// Longest pause after the store refused or was silent, ms.
+pub const STORE_BACKOFF_MOST_MS: u64 = 1_500;
+/// Most calls waiting for the store's budget; further user calls are refused (memory).
+pub const STORE_QUEUE_MOST: usize = 600;
+/// Most calls to the store in flight at once (sockets, memory).
+pub const STORE_IN_FLIGHT_MOST: usize = 24;
+/// Share of the platform's state limits that all controllers together use: the rest absorbs
+/// bursts and clock differences.
+pub const STORE_SHARE_ALL: f64 = 0.9;
+/// Share of the above for the leader; the others divide the rest.
+pub const STORE_SHARE_LEADER: f64 = 0.6;
+/// Timeout of one call to the cloud, ms.
+pub const CLOUD_TIMEOUT_MS: u64 = 4_000;
+/// Share of the platform's cloud rate that the leader uses.
+pub const CLOUD_SHARE: f64 = 0.8;
+/// Pause after a cloud error, ms.
+pub const CLOUD_BACKOFF_MS: u64 = 1_500;
+/// Time between readings of the machine list, ms: the list lags by as much, and its pages are a
+/// good part of 2 calls a second.
+pub const CLOUD_LIST_MS: u64 = 10_000;
+/// Time between readings of the machine types, ms: market prices move slowly.
+pub const CLOUD_TYPES_MS: u64 = 60_000;
+/// Names asked for in one page of the machine list (protocol: 500 at most).
+pub const CLOUD_PAGE: u32 = 500;
+/// Most machines in one rental request (protocol).
+pub const RENT_MOST: u32 = 50;
+/// Most names in one return request (protocol).
+pub const RETURN_MOST: usize = 100;
+/// Largest transaction, bytes (protocol: 64 KiB), with room for its envelope.
+pub const TXN_BYTES: usize = 60 * 1024;
+/// Keys asked for in one page of a listing.
+pub const LIST_PAGE: u32 = 200;
+/// Timeout of a relayed report, ms: below the 4 s a worker gives a report.
+pub const RELAY_TIMEOUT_MS: u64 = 2_500;
+/// A worker that comes back within this time after it was sent to the leader, ms, could not
+/// reach it: its own timeout of 4 s and pauses of 1 s fit in it.
+pub const CAME_BACK_MS: u64 = 12_000;
+/// Time for which such a worker is then served through this node, ms, before it is sent to the
+/// leader again.
+pub const RELAY_MS: u64 = 30_000;
+/// Workers whose redirections are remembered (memory).
+pub const RELAYED_MOST: usize = 4_000;
+/// Calls to the cloud in flight at once (sockets).
+pub const CLOUD_IN_FLIGHT_MOST: usize = 8;
+/// Reports held while a new leader reads the store (memory).
+pub const HELD_REPORTS_MOST: usize = 500;
+/// Conflicts after which a cancellation is given back to its user.
+pub const CANCEL_TRIES: u32 = 5;
+
+/// Time between two lines of status in the leader's log, ms.
+pub const STATUS_MS: u64 = 10_000;
+
+// ---- jobs --------------------------------------------------------------------------------------
+
+/// Bytes that one binding may take in a chunk, counted in JSON form: two numbers of up to 20
+/// digits, a machine name and a session.
+pub const BINDING_BYTES: usize = 90;
+/// Most tasks in one chunk of bindings, whatever the value size allows.
+pub const CHUNK_TASKS_MOST: u32 = 256;
+/// Launch numbers of one term start at its token shifted left by this many bits. A term thus
+/// has 2^24 launches, and no two terms share one.
+pub const LAUNCH_BITS: u32 = 24;
+/// Jobs whose counts a heartbeat tells (size of the message).
+pub const COUNTS_MOST: usize = 1_000;
+/// Final answers a node keeps in its cache.
+pub const FINALS_CACHED: usize = 4_000;
+/// Pause before a failed task is tried again, ms, doubled with each failure.
+pub const RETRY_MS: u64 = 1_000;
+/// Longest such pause, ms.
+pub const RETRY_MOST_MS: u64 = 30_000;
+/// Time before a job's chunk is written, ms: bindings are in the ledger by then, and what was done
+/// is known to its worker until it is committed, so that one change holds many of both.
+pub const FOLD_MS: u64 = 2_500;
+/// Chunks that wait for the store's budget at once: what waits here holds what was known when it
+/// came, what waits in the tables goes on gathering.
+pub const FOLDS_QUEUED: usize = 2;
+/// Least time between two writes of the ledger, ms: a few a second leave most of 20 to 30 changes
+/// a second to chunks and ends.
+pub const LEDGER_MS: u64 = 200;
+/// Largest sheet of the ledger, bytes, where values may be larger (processor: it is written whole).
+pub const SHEET_BYTES: usize = 8 * 1024;
+/// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
+pub const LEDGER_MOST: usize = 4_000;
+/// Sheets read by a new leader at most.
+pub const SHEETS_MOST: usize = 1_000;
+/// Seconds the user is asked to wait before trying again.
+pub const RETRY_AFTER_S: u32 = 1;
+
+// ---- machines ----------------------------------------------------------------------------------
+
+/// Share of `lease_s` after which a silent machine is given nothing new.
+pub const QUIET_SHARE: f64 = 0.35;
+/// Share of `lease_s` after which a silent machine is returned: its own lease is then about to
+/// end its tasks anyway.
+pub const LOST_SHARE: f64 = 0.95;
+/// Time beyond the lease that a new leader gives a machine with tasks that it never heard, ms.
+pub const LOST_EXTRA_MS: u64 = 2_000;
+/// Share of the machines that, silent at once, say that this controller or a zone is cut off and
+/// not that the machines are lost.
+pub const MASS_SHARE: f64 = 0.34;
+/// Machines below which that is not judged.
+pub const MASS_LEAST: usize = 4;
+/// Factor by which the patience with silent machines grows then.
+pub const MASS_PATIENCE: f64 = 2.5;
+/// Time before `cancel_s` ends at which a withdrawn task that is not proved gone costs its
+/// machine, ms: list, rate limits and two tries of the return fit in it.
+pub const CANCEL_MARGIN_MS: u64 = 14_000;
+/// Time between two stop commands for the same task, ms.
+pub const STOP_AGAIN_MS: u64 = 1_500;
+/// Grace beyond `stow_s` given to a stop, s.
+pub const EASE_EXTRA_S: f64 = 2.0;
+/// Longest usual boot, in times of `boot_s` (protocol).
+pub const BOOT_USUAL_MOST: f64 = 1.5;
+/// Time beyond that, and after a change of leader, for which a machine never heard is planned with,
+/// ms: a worker finds a new leader within some seconds.
+pub const EXPECT_MS: u64 = 10_000;
+/// A boot later than this many times `boot_s` is given up.
+pub const BOOT_LATE_FACTOR: f64 = 2.5;
+/// and by at least this much, ms.
+pub const BOOT_LATE_MS: u64 = 20_000;
+/// Time a machine without tasks is kept, ms: a machine returned costs 60 s at least.
+pub const IDLE_MS: u64 = 25_000;
+/// Time between looks for idle machines, ms (processor).
+pub const IDLE_CHECK_MS: u64 = 1_000;
+/// Time between two moves of replicas, ms: one replica restarts within it.
+pub const MOVES_MS: u64 = 1_500;
+/// Machines emptied by moves at once.
+pub const DRAINS_MOST: usize = 2;
+/// A machine is emptied if it costs this many times what its replicas would on a full machine of
+/// the cheapest type: a move costs a replica a few seconds, a machine half empty costs for minutes.
+pub const MOVE_RATIO: f64 = 1.9;
+/// Replicas that a service needs for one of them to be moved: the others go on serving.
+pub const MOVE_REPLICAS: u32 = 2;
+/// Machines for which a step looks for room elsewhere (processor).
+pub const MOVE_TRIES: usize = 8;
+/// Time that a replica runs before it may be moved, ms: a start counts once it has run for 30 s.
+pub const MOVE_AGE_MS: u64 = 45_000;
+/// Longest fetch for which a replica is moved, ms.
+pub const MOVE_FETCH_MS: f64 = 2_500.0;
+/// Errors of different jobs on one machine, without a success between, that make it suspect.
+pub const SUSPECT_JOBS: usize = 2;
+/// Machines on which a job must fail before the job itself is suspected.
+pub const FAULTY_JOB_MACHINES: usize = 3;
+/// Pause of a (type, zone, kind) after "no capacity", ms, doubled each time.
+pub const NO_CAPACITY_MS: u64 = 8_000;
+/// Longest such pause, ms.
+pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
+/// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
+pub const RENT_WAIT_MS: f64 = 120_000.0;
+/// A machine that should be up by now is planned to be so after this, ms.
+pub const SOON_MS: f64 = 2_000.0;
+/// Boot time taken for a machine of an unknown type, ms.
+pub const BOOT_UNKNOWN_MS: f64 = 60_000.0;
+/// Slack for sums of decimal amounts, in their own unit.
+pub const SLACK: f64 = 1e-6;
+/// Names of returned machines remembered, so that an old list does not bring them back (memory).
+pub const RETURNED_MOST: usize = 2_000;
+/// Rentals of one type, zone and kind that wait for an answer at once.
+pub const RENTALS_OPEN_MOST: usize = 3;
+/// Machines remembered as bad for a job.
+pub const BAD_MACHINES_MOST: usize = 16;
+
+// ---- pruning (PAM) -----------------------------------------------------------------------------
+
+/// Pruning threshold: a chance at or below it defers (design; thesis 4.4.2).
+pub const THRESHOLD: f64 = 0.75;
+/// Largest share of the CPUs on spot machines, unless a policy says less: spot is cheaper, and
+/// placement weighs its losses by chance.
+pub const SPOT_SHARE: f64 = 1.0;
+/// Misses since the last round that engage dropping (design; thesis 4.4.3).
+pub const TOGGLE: u32 = 1;
+/// Longest line of a slot, the executing task included (design; thesis 4.4.1).
+pub const LINE_CAP: usize = 6;
+/// Steps of a plug-in's preference that placement tells apart, for one.
+pub const SCORE_STEPS: f64 = 100.0;
+/// Time between rounds, ms (design).
+pub const ROUND_MS: u64 = 2_000;
+/// Least time between two event-driven passes, ms (processor).
+pub const PASS_MS: u64 = 150;
+/// Bins of a probability mass function: coarse, since a controller has 8% of a core.
+pub const BINS: usize = 24;
+/// A run time before anything is known lies evenly between this many times the estimate ...
+pub const PRIOR_LOW: f64 = 0.5;
+/// ... and this many times (design).
+pub const PRIOR_HIGH: f64 = 3.0;
+/// Weight of that prior, counted in finishes.
+pub const PRIOR_WEIGHT: f64 = 2.0;
+/// Finishes of a class from which on its jobs' run times are guessed from what others of the class
+/// took, in times of their estimates, and no longer from the bounds above.
+pub const RATIOS_LEAST: u64 = 30;
+/// Finishes of one job that teach its class at most: its tasks share its estimate's error.
+pub const RATIOS_PER_JOB: u32 = 10;
+/// Weight of the bounds above among what a class has taught, counted in finishes.
+pub const RATIO_PRIOR_WEIGHT: f64 = 6.0;
+/// Steps of a ratio that a histogram tells apart, for one.
+pub const RATIO_UNITS: f64 = 100.0;
+/// Largest ratio told apart, in those steps.
+pub const RATIO_MOST: u64 = 100_000;
+/// Classes of jobs that are learnt (memory).
+pub const CLASSES_MOST: usize = 200;
+/// Longest run time a histogram tells apart, in its unit of 100 ms: about 28 hours.
+pub const RUN_MOST: u64 = 1_000_000;
+/// Unit of run-time histograms, ms.
+pub const RUN_UNIT_MS: u64 = 100;
+/// Service tasks of each class for which room is kept free, so that a new one need not wait for
+/// a boot.
+pub const RESERVE_TASKS: u32 = 4;
+/// Tasks of a service's size for which each image that services use keeps room on a machine that
+/// has it: a fetch would make a new one late.
+pub const RESERVE_PER_IMAGE: u32 = 2;
+/// Images of services for which that is done, the most used first.
+pub const RESERVE_IMAGES: usize = 8;
+/// Time that a service must gain by it before tasks of lower priority are stopped for it, ms.
+pub const PREEMPT_GAIN_MS: f64 = 8_000.0;
+/// Time that binding and starting a task takes beside its image's fetch, ms: a pass, a commit.
+pub const START_MS: f64 = 1_000.0;
+/// Reports after which a stopped task's room is taken to be free for the next.
+pub const PREEMPT_REPORTS: f64 = 2.0;
+/// Time a service waits for room made for it, ms, before it takes any other.
+pub const PREEMPT_WAIT_MS: u64 = 9_000;
+/// Jobs of one level placed in one pass at most (processor).
+pub const PASS_JOBS: usize = 200;
+/// Tasks bound in one pass at most; the next goes on (processor).
+pub const PASS_BINDS: usize = 300;
+/// Heads that began within one such step end alike in a round's arithmetic, ms: the round's own
+/// period, so that slots share their mass functions.
+pub const END_STEP_MS: f64 = 2_000.0;
--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,189 @@
+//! Renting and returning machines: what the fleet needs, read from the tables and given back as a
+//! plan that the node applies.
+
+mod moves;
+mod reserve;
+
+use crate::Time;
+use crate::constants::*;
+use crate::job::{Job, JobId, Kind, MachineId};
+use crate::machine::Standing;
+use crate::placement::View;
+use crate::tables::Tables;
+use reserve::Reserve;
+use std::collections::BTreeSet;
+
+/// What the fleet wants done.
+#[derive(Debug, Default)]
+pub struct FleetPlan {
+    /// Machines to return, and why.
+    pub returns: Vec<(MachineId, &'static str)>,
+    /// Tasks to stop: they drain off machines that leave.
+    pub stops: Vec<(JobId, u32)>,
+    /// Machines that begin, or cease, to be emptied.
+    pub standings: Vec<(MachineId, Standing)>,
+    /// Read the machine list.
+    pub list: bool,
+    /// Read the machine types.
+    pub types: bool,
+    /// Idle machines were looked for.
+    pub idle: bool,
+    /// Moves were looked for.
+    pub moves: bool,
+}
+
+/// With every timer step: lists, lost machines, idle machines, returns. `sure`: the store has
+/// answered lately. A leader that it has not may be cut off, and what it asks of the cloud may be
+/// held back and done much later, under another leader: it then returns only what a cancellation
+/// needs. Rooms must be counted.
+pub fn plan(tables: &Tables, view: View, sure: bool) -> FleetPlan {
+    let now = view.now;
+    let rentals = &tables.rentals;
+    let mut out = FleetPlan {
+        list: !rentals.listing && now >= rentals.listed_at + CLOUD_LIST_MS,
+        types: now >= rentals.typed_at + CLOUD_TYPES_MS,
+        ..FleetPlan::default()
+    };
+    cancelled_in_time(tables, view, &mut out);
+    if sure {
+        lost(tables, view, &mut out);
+        out.idle = now >= rentals.idle_at + IDLE_CHECK_MS;
+        if out.idle {
+            idle(tables, view, &mut out);
+        }
+        out.moves = now >= rentals.moved_at + MOVES_MS;
+        if out.moves {
+            moves::consolidate(tables, view, &mut out);
+        }
+    }
+    drain(tables, view, &mut out);
+    out
+}
+
+/// A cancelled task that is not proved gone in time costs its machine.
+fn cancelled_in_time(tables: &Tables, view: View, out: &mut FleetPlan) {
+    let limit = (view.settings.settings.workers.cancel_s * MS_PER_S) as u64;
+    let limit = limit.saturating_sub(CANCEL_MARGIN_MS);
+    let mut late = BTreeSet::new();
+    for job in tables.jobs.values() {
+        if job.cancelled_at.is_some_and(|at| view.now >= at + limit) {
+            late.extend(job.attempts.values().filter(|a| a.occupies()).map(|a| a.machine.clone()));
+        }
+    }
+    let late = late.into_iter().map(|id| (id, "a cancelled task is not proved gone"));
+    out.returns.extend(late);
+}
+
+/// Many machines silent at once are cut off rather than lost: they are given more time.
+fn patience(tables: &Tables, now: Time, lease_ms: f64) -> f64 {
+    let heard = tables.machines.values().filter_map(|m| m.heard);
+    let (mut all, mut quiet) = (0, 0);
+    for at in heard {
+        all += 1;
+        let silent = now.saturating_sub(at.max(tables.since)) as f64;
+        quiet += usize::from(silent > lease_ms * QUIET_SHARE);
+    }
+    let mass = all >= MASS_LEAST && quiet as f64 > all as f64 * MASS_SHARE;
+    if mass { MASS_PATIENCE } else { 1.0 }
+}
+
+/// A machine with a notice is emptied of what gains by it: replicas move at once, tasks that can
+/// save do so in time, gangs whole. A task that cannot save runs on, since it may still be done.
+fn drain(tables: &Tables, view: View, out: &mut FleetPlan) {
+    let now = view.now;
+    let report_ms = view.settings.settings.workers.report_s * MS_PER_S;
+    for machine in tables.machines.values() {
+        let Some(recall) = machine.recall_at else { continue };
+        for (id, task) in machine.tasks.keys() {
+            let Some(job) = tables.jobs.get(id) else { continue };
+            let save_ms = (job.spec.save_s + EASE_EXTRA_S) * MS_PER_S + 2.0 * report_ms;
+            let due = match job.spec.kind {
+                Kind::Service => true,
+                _ => job.spec.checkpoint_s > 0.0 && (now as f64 + save_ms) >= recall as f64,
+            };
+            if !due {
+                continue;
+            }
+            out.stops.push((id.clone(), *task));
+        }
+    }
+}
+
+/// Silent machines, boots that are far too late, machines about to be taken.
+fn lost(tables: &Tables, view: View, out: &mut FleetPlan) {
+    let now = view.now;
+    let lease_ms = view.lease_ms();
+    let patience = patience(tables, now, lease_ms);
+    let limit = (lease_ms * LOST_SHARE * patience) as u64;
+    for machine in tables.machines.values() {
+        if machine.standing() == Standing::Returning {
+            continue;
+        }
+        let kind = view.types.iter().find(|t| t.name == machine.kind);
+        let mut leave = |why| out.returns.push((machine.id.clone(), why));
+        if let Some(at) = machine.recall_at
+            && now + 1_000 >= at
+        {
+            leave("the cloud takes it back");
+            continue;
+        }
+        match machine.heard {
+            Some(at) => {
+                // A new leader gives every worker time to find it.
+                if now.saturating_sub(at.max(tables.since)) > limit {
+                    leave("it is silent");
+                }
+            }
+            None => {
+                let boot = kind.map_or(BOOT_UNKNOWN_MS, |t| t.boot_ms);
+                let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
+                let bound = !machine.tasks.is_empty();
+                let limit = if bound { limit.max(lease_ms as u64 + LOST_EXTRA_MS) } else { late };
+                let since =
+                    if bound { machine.known_at } else { machine.rented_at.max(tables.since) };
+                if now.saturating_sub(since) > limit {
+                    leave("it never came up");
+                }
+            }
+        }
+    }
+}
+
+/// Machines without work are returned after a while, suspects as soon as they are empty. What work
+/// that waits could use is kept, and so is the reserve for services.
+fn idle(tables: &Tables, view: View, out: &mut FleetPlan) {
+    let (now, types) = (view.now, view.types);
+    let empty: Vec<MachineId> = tables
+        .machines
+        .values()
+        .filter(|m| m.standing() == Standing::Ready && m.tasks.is_empty() && m.strays.is_empty())
+        .filter(|m| m.suspect || now >= m.idle_since + view.steering.idle_ms)
+        .map(|m| m.id.clone())
+        .collect();
+    if empty.is_empty() {
+        return;
+    }
+    let waiting: Vec<&Job> = tables.jobs.values().filter(|j| !j.waiting.is_empty()).collect();
+    let waits = waiting.iter().any(|j| j.spec.kind != Kind::Service && !j.cancelled());
+    let wanted: Vec<[bool; 2]> = types
+        .iter()
+        .map(|t| {
+            let fits = |spot: bool| {
+                let may = |j: &&Job| t.allows(&j.spec) && !t.wasted_on(&j.spec);
+                waits && waiting.iter().any(|j| may(j) && (!spot || j.spec.spot))
+            };
+            [fits(false), fits(true)]
+        })
+        .collect();
+    let mut reserve = Reserve::count(tables, types, view.steering.reserve);
+    for id in empty {
+        let Some(machine) = tables.machines.get(&id) else { continue };
+        let kind = types.iter().position(|t| t.name == machine.kind);
+        let wanted = kind.is_some_and(|k| wanted[k][usize::from(machine.spot)]);
+        if machine.suspect {
+            out.returns.push((id, "it is suspected"));
+        } else if !wanted && !reserve.needs(machine, types) {
+            out.returns.push((id, "it is idle"));
+        }
+    }
+}
--- a/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -2,11 +2,13 @@
 //! returned. Replicas end at different times, and what is left of them would else hold many
 //! machines for a few tasks. A service of a single replica is never moved: it would be down.
 
-use crate::cluster::Ctx;
-use crate::cluster::leader::Leader;
+use super::FleetPlan;
+use crate::Time;
 use crate::constants::*;
 use crate::job::*;
-use crate::machine::{Machine, MachineType, Room, Standing};
+use crate::machine::{MachineType, Room, Standing};
+use crate::placement::View;
+use crate::tables::Tables;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -14,83 +16,60 @@
 type Replica = (JobId, u32);
 
 /// One step: at most one replica is stopped, so that no service lacks more than one for it.
-pub(super) fn consolidate(leader: &mut Leader, ctx: &mut Ctx) {
-    let now = ctx.now;
-    if now < leader.fleet.moved_at + MOVES_MS {
-        return;
-    }
-    leader.fleet.moved_at = now;
-    let Some(types) = ctx.types.clone() else { return };
-    leader.count_rooms(&types);
-    return_emptied(leader);
-    // Room is for what waits; and a service that lacks a replica is not disturbed further.
-    if leader.jobs.values().any(|j| !j.waiting.is_empty() && !j.cancelled()) {
-        return;
-    }
-    let draining: Vec<MachineId> = leader
+pub(super) fn consolidate(tables: &Tables, view: View, out: &mut FleetPlan) {
+    let types = view.types;
+    let draining: Vec<&MachineId> = tables
         .machines
         .values()
         .filter(|m| m.standing() == Standing::Draining)
-        .map(|m| m.id.clone())
+        .map(|m| &m.id)
         .collect();
+    let (emptied, draining): (Vec<&MachineId>, Vec<&MachineId>) =
+        draining.into_iter().partition(|id| {
+            tables.machines[*id].tasks.is_empty() && tables.machines[*id].strays.is_empty()
+        });
+    out.returns.extend(emptied.into_iter().map(|id| (id.clone(), "it is emptied")));
+    // Room is for what waits; and a service that lacks a replica is not disturbed further.
+    if tables.jobs.values().any(|j| !j.waiting.is_empty() && !j.cancelled()) {
+        return;
+    }
     for id in &draining {
-        match next_move(leader, id, &types) {
+        match next_move(tables, id, types) {
             Some((job, task)) => {
-                if let Some(attempt) =
-                    leader.jobs.get_mut(&job).and_then(|j| j.attempts.get_mut(&task))
-                {
-                    tracing::info!(job = %job, task, machine = %id, "replica moved");
-                    attempt.stop.get_or_insert((now, 0));
-                    return;
-                }
-            }
-            None if replicas(leader, id).is_empty() => {}
-            None => {
-                // Its replicas no longer fit elsewhere: it stays.
-                if let Some(machine) = leader.machines.get_mut(id) {
-                    machine.advance(Standing::Ready);
-                }
+                tracing::info!(job = %job, task, machine = %id, "replica moved");
+                out.stops.push((job, task));
+                return;
             }
+            None if replicas(tables, id).is_empty() => {}
+            // Its replicas no longer fit elsewhere: it stays.
+            None => out.standings.push(((*id).clone(), Standing::Ready)),
         }
     }
-    if draining.len() >= DRAINS_MOST {
-        return;
-    }
-    if let Some(id) = most_wasteful(leader, &types, now)
-        && let Some(machine) = leader.machines.get_mut(&id)
+    if draining.len() < DRAINS_MOST
+        && let Some(id) = most_wasteful(tables, types, view.now)
     {
-        machine.advance(Standing::Draining);
-    }
-}
-
-fn return_emptied(leader: &mut Leader) {
-    let Leader { machines, fleet, .. } = leader;
-    let empty = |m: &&mut Machine| {
-        m.standing() == Standing::Draining && m.tasks.is_empty() && m.strays.is_empty()
-    };
-    for machine in machines.values_mut().filter(empty) {
-        fleet.want_return(machine, "it is emptied");
+        out.standings.push((id, Standing::Draining));
     }
 }
 
 /// Replicas on a machine that take room.
-fn replicas(leader: &Leader, id: &MachineId) -> Vec<Replica> {
-    let Some(machine) = leader.machines.get(id) else { return Vec::new() };
+fn replicas(tables: &Tables, id: &MachineId) -> Vec<Replica> {
+    let Some(machine) = tables.machines.get(id) else { return Vec::new() };
     let held = |(job, task): &&Replica| {
-        leader.jobs.get(job).and_then(|j| j.attempts.get(task)).is_some_and(Attempt::occupies)
+        tables.jobs.get(job).and_then(|j| j.attempts.get(task)).is_some_and(Attempt::occupies)
     };
     machine.tasks.keys().filter(held).cloned().collect()
 }
 
 /// The next replica to move off a machine: one of a service that lacks none, if all of them find
 /// a place.
-fn next_move(leader: &Leader, id: &MachineId, types: &[MachineType]) -> Option<Replica> {
-    let replicas = replicas(leader, id);
-    if !fit_elsewhere(leader, id, &replicas, types) {
+fn next_move(tables: &Tables, id: &MachineId, types: &[MachineType]) -> Option<Replica> {
+    let replicas = replicas(tables, id);
+    if !fit_elsewhere(tables, id, &replicas, types) {
         return None;
     }
     let whole = |(job, _): &Replica| {
-        leader.jobs.get(job).is_some_and(|j| {
+        tables.jobs.get(job).is_some_and(|j| {
             j.spec.tasks >= MOVE_REPLICAS
                 && j.attempts.len() == j.spec.tasks as usize
                 && j.attempts.values().all(|a| a.stage() == Stage::Running && a.stop.is_none())
@@ -100,11 +79,11 @@
 }
 
 /// The machine that holds only replicas and costs most for each of them, if they fit elsewhere.
-fn most_wasteful(leader: &Leader, types: &[MachineType], now: Time) -> Option<MachineId> {
+fn most_wasteful(tables: &Tables, types: &[MachineType], now: Time) -> Option<MachineId> {
     let ordinary = types.iter().filter(|t| t.gpus <= 0.0 && t.cpus > 0.0);
     let least = ordinary.map(|t| t.price / t.cpus).fold(f64::MAX, f64::min);
     let mut found: Vec<(f64, MachineId)> = Vec::new();
-    for machine in leader.machines.values() {
+    for machine in tables.machines.values() {
         let Some(kind) = types.iter().find(|t| t.name == machine.kind) else { continue };
         if machine.standing() != Standing::Ready || !machine.anchored() || machine.tasks.is_empty()
         {
@@ -112,7 +91,7 @@
         }
         let mut worth = 0.0;
         let settled = machine.tasks.keys().all(|(id, task)| {
-            let Some(job) = leader.jobs.get(id) else { return false };
+            let Some(job) = tables.jobs.get(id) else { return false };
             worth += job.spec.cpus * least;
             job.spec.kind == Kind::Service
                 && job.spec.tasks >= MOVE_REPLICAS
@@ -129,24 +108,24 @@
     }
     found.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
     found.truncate(MOVE_TRIES);
-    let fits = |id: &MachineId| fit_elsewhere(leader, id, &replicas(leader, id), types);
+    let fits = |id: &MachineId| fit_elsewhere(tables, id, &replicas(tables, id), types);
     found.into_iter().map(|f| f.1).find(fits)
 }
 
 /// Whether replicas find room on other machines that hold replicas already and have their images,
 /// within the rules of their zones.
 fn fit_elsewhere(
-    leader: &Leader,
+    tables: &Tables,
     from: &MachineId,
     replicas: &[Replica],
     types: &[MachineType],
 ) -> bool {
     let mut rooms: BTreeMap<&MachineId, Room> = BTreeMap::new();
     replicas.iter().all(|(id, task)| {
-        let Some(job) = leader.jobs.get(id) else { return false };
+        let Some(job) = tables.jobs.get(id) else { return false };
         let spec: &Arc<Spec> = &job.spec;
-        let zone_of = |m: &MachineId| leader.machines.get(m).map(|m| m.zone.as_str());
-        let place = leader.machines.values().find(|m| {
+        let zone_of = |m: &MachineId| tables.machines.get(m).map(|m| m.zone.as_str());
+        let place = tables.machines.values().find(|m| {
             let Some(kind) = types.iter().find(|t| t.name == m.kind) else { return false };
             let near = m.has_image(&spec.image) || kind.fetch_ms(spec) <= MOVE_FETCH_MS;
             let others = job.attempts.iter().filter(|(t, _)| *t != task);
--- a/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -5,94 +5,18 @@
 pub use record::{Bound, Chunk, Ending, FinalRecord, JobRecord, chunk_key, chunk_size, keys};
 
 use crate::constants::*;
-use crate::wire::workers::Cause;
-use serde::{Deserialize, Serialize};
+pub use swiftsail_wire::users::{Kind, Priority, Spec};
+
+use crate::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use swiftsail_wire::workers::Cause;
 
-/// Steady time in ms.
-pub type Time = u64;
 /// A job's id.
 pub type JobId = Arc<str>;
 /// A machine's name.
 pub type MachineId = Arc<str>;
 
-/// Shape of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// Independent tasks that each run to completion.
-    Array,
-    /// Tasks that run at the same time or not at all.
-    Gang,
-    /// Replicas that run until the job is cancelled.
-    Service,
-}
-
-/// Priority, least first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Priority {
-    /// Low.
-    Low,
-    /// Normal.
-    Normal,
-    /// High.
-    High,
-    /// Production.
-    Production,
-}
-
-/// What a job asks for.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Spec {
-    /// Class of jobs.
-    pub class: String,
-    /// Team.
-    pub team: String,
-    /// Shape.
-    pub kind: Kind,
-    /// Priority.
-    pub priority: Priority,
-    /// Number of tasks.
-    pub tasks: u32,
-    /// CPUs of a task.
-    pub cpus: f64,
-    /// Accelerators of a task.
-    pub gpus: f64,
-    /// Memory of a task, GB.
-    pub memory_gb: f64,
-    /// Image.
-    pub image: String,
-    /// Its size, GB.
-    pub image_gb: f64,
-    /// Allowed machine types.
-    pub types: Option<Vec<String>>,
-    /// The only allowed zone.
-    pub zone: Option<String>,
-    /// All tasks in one zone.
-    pub one_zone: bool,
-    /// At most half of the tasks, rounded up, in one zone.
-    pub spread: bool,
-    /// May run on spot machines.
-    pub spot: bool,
-    /// Owner's estimate of a task's run time, s.
-    pub estimate_s: f64,
-    /// Interval of checkpoints, s; 0: none.
-    pub checkpoint_s: f64,
-    /// Time to save, s.
-    pub save_s: f64,
-    /// Deadline from submission, s.
-    pub deadline_s: Option<f64>,
-}
-
-impl Spec {
-    /// Most tasks in one zone at a time.
-    pub fn zone_cap(&self) -> u32 {
-        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
-    }
-}
-
 /// Where an attempt stands. The order is the order of its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -261,8 +185,6 @@
     pub regroup: bool,
     /// Counted as missed already.
     pub missed: bool,
-    /// Tasks of it that stand in lines.
-    pub lined: u32,
 }
 
 impl Job {
@@ -295,7 +217,6 @@
             bad_machines: VecDeque::new(),
             regroup: false,
             missed: false,
-            lined: 0,
         }
     }
 
@@ -438,11 +359,7 @@
     }
 
     /// Tasks in one zone that are not proved gone.
-    pub fn in_zone<'a>(
-        &'a self,
-        zone_of: impl Fn(&MachineId) -> Option<&'a str>,
-        zone: &str,
-    ) -> u32 {
+    pub fn in_zone<'a>(&self, zone_of: impl Fn(&MachineId) -> Option<&'a str>, zone: &str) -> u32 {
         let there =
             self.attempts.values().filter(|a| zone_of(&a.machine).is_none_or(|z| z == zone));
         there.filter(|a| a.occupies()).count() as u32
--- a/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -1,10 +1,11 @@
 //! Machines: their types, what is known of each, and what is on it.
 
+use crate::Time;
 use crate::constants::*;
-use crate::job::{JobId, MachineId, Spec, Time};
-use crate::wire::cloud::{Hull, Listed};
-use crate::wire::workers::Report;
+use crate::job::{JobId, MachineId, Spec};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use swiftsail_wire::cloud::{Hull, Listed};
+use swiftsail_wire::workers::Report;
 
 /// A machine type.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/crates/core/src/node/calls.rs
@@ -0,0 +1,188 @@
+//! What calls to the state service are for, and where their outcomes go.
+
+use super::{Ctx, Node, RequestId};
+use crate::Time;
+use crate::constants::*;
+use crate::job::{JobId, keys};
+use crate::machine::MachineType;
+use crate::store::{Call, Finished, Outcome, Patience, Urgency};
+use std::sync::Arc;
+use swiftsail_wire::cloud::Types;
+use swiftsail_wire::state::{Change, Commit, When};
+
+/// What a store call was for; `era` tells answers to an earlier term.
+#[derive(Debug, Clone, PartialEq)]
+#[allow(missing_docs)]
+pub enum Purpose {
+    /// Read who leads.
+    ReadTerm,
+    /// Watch who leads.
+    FollowTerm,
+    /// Get a lease to lead.
+    Grant { era: u64, asked: Time },
+    /// Write the leader's key.
+    Acquire { era: u64 },
+    /// Extend the lease.
+    Extend { era: u64, asked: Time },
+    /// Read the machine types.
+    ReadTypes,
+    /// Keep the machine types.
+    WriteTypes { era: u64 },
+    /// Read all jobs.
+    LoadJobs { era: u64 },
+    /// Read all bindings.
+    LoadBindings { era: u64 },
+    /// Watch the jobs.
+    FollowJobs { era: u64 },
+    /// Write a job's chunks.
+    Flush { era: u64, job: JobId },
+    /// Read all sheets of the ledger.
+    LoadSheets { era: u64 },
+    /// Write new bindings.
+    Ledger { era: u64 },
+    /// Read a key after a conflict of the ledger.
+    ResolveLedger { era: u64, key: String },
+    /// Read a job after a conflict.
+    ResolveJob { era: u64, job: JobId },
+    /// Read a chunk after a conflict.
+    ResolveChunk { era: u64, job: JobId, index: usize },
+    /// Remove keys that nothing refers to.
+    Sweep { era: u64 },
+    /// Create a job.
+    Create { request: RequestId, job: JobId },
+    /// Read a job for those who asked.
+    ReadJob(JobId),
+    /// Read a job's final record for those who asked.
+    ReadFinal(JobId),
+    /// Mark a job as cancelled.
+    Cancel(JobId),
+}
+
+impl Purpose {
+    pub(super) fn era(&self) -> Option<u64> {
+        use Purpose::*;
+        match self {
+            Grant { era, .. }
+            | Acquire { era }
+            | Extend { era, .. }
+            | WriteTypes { era }
+            | LoadJobs { era }
+            | LoadBindings { era }
+            | FollowJobs { era }
+            | Flush { era, .. }
+            | LoadSheets { era }
+            | Ledger { era }
+            | ResolveLedger { era, .. }
+            | ResolveJob { era, .. }
+            | ResolveChunk { era, .. }
+            | Sweep { era } => Some(*era),
+            _ => None,
+        }
+    }
+}
+
+impl Node {
+    pub(super) fn on_store(&mut self, end: Finished<Purpose>) {
+        if end.purpose.era().is_some_and(|era| era != self.term.era) {
+            return;
+        }
+        match end.purpose.clone() {
+            Purpose::ReadTerm
+            | Purpose::FollowTerm
+            | Purpose::Grant { .. }
+            | Purpose::Acquire { .. }
+            | Purpose::Extend { .. } => self.on_term(end),
+            Purpose::ReadTypes => {
+                if let Outcome::Found(pair) = end.outcome
+                    && self.types.is_none()
+                    && let Ok(types) = serde_json::from_value::<Types>(pair.value)
+                {
+                    self.know_types(&types);
+                }
+            }
+            Purpose::WriteTypes { .. } | Purpose::Sweep { .. } => {}
+            ref load @ (Purpose::LoadJobs { era }
+            | Purpose::LoadBindings { era }
+            | Purpose::LoadSheets { era }) => self.on_load(end.outcome, era, load),
+            Purpose::FollowJobs { era } => self.on_follow_jobs(end.outcome, era),
+            Purpose::Flush { ref job, .. } => {
+                let lost = match &mut self.leader {
+                    Some(leader) => leader.on_flushed(job, &end, &mut ctx!(self)),
+                    None => false,
+                };
+                if lost {
+                    self.step_down("the store knows of another term");
+                }
+            }
+            Purpose::Ledger { .. } => {
+                let lost = match &mut self.leader {
+                    Some(leader) => leader.on_ledger(&end, &mut ctx!(self)),
+                    None => false,
+                };
+                if lost {
+                    self.step_down("the store knows of another term");
+                }
+            }
+            Purpose::ResolveLedger { key, .. } => {
+                if let Some(leader) = &mut self.leader {
+                    leader.on_resolve_ledger(&key, &end.outcome, &mut ctx!(self));
+                }
+            }
+            Purpose::ResolveJob { job, .. } => {
+                if let Some(leader) = &mut self.leader {
+                    leader.on_resolve_job(&job, &end.outcome, &mut ctx!(self));
+                }
+            }
+            Purpose::ResolveChunk { job, index, .. } => {
+                if let Some(leader) = &mut self.leader {
+                    leader.on_resolve_chunk(&job, index, &end.outcome, &mut ctx!(self));
+                }
+            }
+            Purpose::Create { .. }
+            | Purpose::ReadJob(_)
+            | Purpose::ReadFinal(_)
+            | Purpose::Cancel(_) => {
+                self.on_user_store(end);
+            }
+        }
+    }
+
+    pub(super) fn know_types(&mut self, types: &Types) {
+        if !types.hulls.is_empty() {
+            self.types = Some(Arc::new(types.hulls.iter().map(MachineType::from).collect()));
+        }
+    }
+
+    pub(super) fn keep_types(&mut self) {
+        if self.types.is_none() {
+            self.types_asked = 0;
+        }
+    }
+
+    /// The leader keeps the machine types in the store, for nodes that start while the cloud is
+    /// away.
+    pub(super) fn keep_types_as(&mut self, types: &Types) {
+        let Some(leader) = &self.leader else { return };
+        let commit = Commit {
+            when: vec![When { key: keys::LEADER.into(), stamp: leader.token }],
+            apply: vec![super::chunks::put(keys::TYPES.into(), types)],
+        };
+        let purpose = Purpose::WriteTypes { era: leader.era };
+        let until = self.now.steady + CLOUD_TYPES_MS;
+        self.store.push(Call::Commit(commit), purpose, Urgency::Tidy, Patience::Once(until));
+    }
+
+    /// Removes records of bindings whose job is over, a few at a time.
+    pub(super) fn sweep(&mut self) {
+        let Some(leader) = self.leader.as_mut().filter(|l| !l.left_over.is_empty()) else { return };
+        let most = self.settings.settings.state.txn_ops;
+        let left = leader.left_over.len().saturating_sub(most);
+        let keys = leader.left_over.split_off(left);
+        let commit = Commit {
+            when: vec![When { key: keys::LEADER.into(), stamp: leader.token }],
+            apply: keys.iter().map(|k| Change::Remove { remove: k.clone() }).collect(),
+        };
+        let purpose = Purpose::Sweep { era: leader.era };
+        self.store.push(Call::Commit(commit), purpose, Urgency::Tidy, Patience::Always);
+    }
+}
--- a/src/cluster/bindings.rs
+++ b/crates/core/src/node/chunks.rs
@@ -2,20 +2,21 @@
 //! end of a job. New bindings are committed by the ledger (see [`super::ledger`]), which a chunk
 //! written later takes over.
 
-use super::leader::Leader;
 use super::{Ctx, Purpose};
+use crate::Time;
 use crate::constants::*;
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
-use crate::wire::state::{Change, Commit, Page, When};
-use crate::wire::workers::Cause;
+use crate::tables::{Tables, split_task};
+use swiftsail_wire::state::{Change, Commit, Page, When};
+use swiftsail_wire::workers::Cause;
 
-impl Leader {
+impl Tables {
     /// Takes over a page of bindings. Keys of jobs that are over are left-overs to remove.
     pub fn load_bindings(&mut self, page: &Page, now: Time) {
         for pair in &page.pairs {
             let rest = pair.key.strip_prefix(keys::BINDINGS);
-            let Some((id, chunk)) = rest.and_then(super::leader::split_task) else { continue };
+            let Some((id, chunk)) = rest.and_then(split_task) else { continue };
             let Ok(record) = serde_json::from_value::<Chunk>(pair.value.clone()) else {
                 tracing::error!(key = %pair.key, "a record of bindings cannot be read");
                 continue;
@@ -23,7 +24,7 @@
             self.nonce = self.nonce.max(record.nonce);
             match self.jobs.get_mut(&id) {
                 Some(job) => job.restore(chunk, &record, pair.stamp, now),
-                None => self.fleet.left_over.push(pair.key.clone()),
+                None => self.left_over.push(pair.key.clone()),
             }
         }
     }
@@ -96,7 +97,7 @@
                 if n + 2 < ops {
                     commit.apply.push(Change::Remove { remove: key });
                 } else {
-                    self.fleet.left_over.push(key);
+                    self.left_over.push(key);
                 }
             }
             job.advance(JobState::Closing, now);
@@ -225,7 +226,9 @@
         };
         if flight.closes {
             job.advance(JobState::Closed, now);
-            self.close(id, ctx);
+            if let Some(job) = self.close(id, now) {
+                tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
+            }
             return;
         }
         for chunk in &flight.chunks {
@@ -237,7 +240,7 @@
             {
                 a.advance(Stage::Bound, now);
             }
-            self.ledger.taken_over(id, task, launch);
+            self.ledger.forget(id, task, Some(launch));
         }
         for task in flight.done {
             if let Some(attempt) = job.attempts.remove(&task) {
@@ -251,19 +254,6 @@
         self.stir = true;
         self.end_if_over(id, ctx);
     }
-
-    fn close(&mut self, id: &JobId, ctx: &mut Ctx) {
-        let Some(job) = self.jobs.remove(id) else { return };
-        for (task, attempt) in &job.attempts {
-            if let Some(machine) = self.machines.get_mut(&attempt.machine) {
-                machine.let_go(id, *task, ctx.now);
-            }
-        }
-        self.lines.drop_job(id);
-        self.history.forget(id);
-        self.preempting.remove(id);
-        tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
-    }
 }
 
 fn done_count(job: &Job) -> u32 {
--- /dev/null
+++ b/crates/core/src/node/lead.rs
@@ -0,0 +1,261 @@
+//! Leadership: the campaign, what a new leader reads, and stepping down.
+
+use super::{Action, Node, Purpose, rates};
+use crate::constants::*;
+use crate::job::keys;
+use crate::store::{Call, Finished, Outcome, Patience, Urgency};
+use crate::tables::Tables;
+use crate::term::{LeaderRecord, Phase};
+use rand::Rng;
+use swiftsail_wire::state::{Change, Commit, When};
+
+impl Node {
+    pub(super) fn read_term(&mut self) {
+        self.read_at = self.now.steady;
+        let call = Call::List { prefix: keys::TERM.into(), from: None };
+        let until = self.now.steady + STORE_TIMEOUT_MS;
+        self.store.push(call, Purpose::ReadTerm, Urgency::Term, Patience::Once(until));
+    }
+
+    pub(super) fn follow_term(&mut self, from: u64) {
+        if !self.following {
+            self.following = true;
+            let call = Call::Follow { prefix: keys::TERM.into(), from };
+            let until = self.now.steady + STORE_TIMEOUT_MS;
+            self.store.push(call, Purpose::FollowTerm, Urgency::Term, Patience::Once(until));
+        }
+    }
+
+    pub(super) fn term_key(&mut self, held: Option<(LeaderRecord, u64)>) {
+        match held {
+            None => {
+                if self.term.holds() {
+                    self.step_down("its key is gone");
+                }
+                if matches!(self.term.phase(), Phase::Unknown | Phase::Following) {
+                    let wait = self.rng.random_range(0..=CAMPAIGN_JITTER_MS);
+                    self.term.leader = None;
+                    self.term.advance(Phase::Vacant(self.now.steady + wait));
+                }
+            }
+            Some((record, stamp)) => {
+                let mine = record.node == self.settings.host_name && record.process == self.process;
+                if mine && matches!(self.term.phase(), Phase::Acquiring(_)) {
+                    self.acquired(stamp);
+                    return;
+                }
+                if self.term.saw(stamp) {
+                    self.step_down("another leads");
+                }
+                if !self.term.holds() {
+                    self.term.held_by(&record.node, stamp);
+                    // A campaign under way ends by itself: its write finds the key.
+                    if !matches!(self.term.phase(), Phase::Granting | Phase::Acquiring(_)) {
+                        self.term.advance(Phase::Following);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn acquired(&mut self, token: u64) {
+        let now = self.now.steady;
+        self.term.token = token;
+        if let Phase::Acquiring(grant) = self.term.phase() {
+            self.term.grant = grant;
+        }
+        self.term.saw(token);
+        if !self.term.advance(Phase::Loading) {
+            self.term.advance(Phase::Unknown);
+            return;
+        }
+        self.term.held_by(&self.settings.host_name.clone(), token);
+        self.term.extend_at = now;
+        let (rps, writes) = rates(&self.settings, true);
+        self.store.set_rates(rps, writes, now);
+        tracing::info!(term = token, "leading: reading the store");
+        let era = self.term.era;
+        self.loading = Some(Tables::new(token, era, now));
+        let call = Call::List { prefix: keys::JOBS.into(), from: None };
+        self.store.push(call, Purpose::LoadJobs { era }, Urgency::Term, Patience::Always);
+    }
+
+    pub(super) fn step_down(&mut self, why: &str) {
+        tracing::warn!(term = self.term.token, why, "stepping down");
+        self.term.advance(Phase::Unknown);
+        self.leader = None;
+        self.loading = None;
+        self.counts.clear();
+        let (rps, writes) = rates(&self.settings, false);
+        self.store.set_rates(rps, writes, self.now.steady);
+        let era = self.term.era;
+        self.store.forget(|p| p.era().is_none_or(|e| e == era));
+        self.cloud.clear();
+        for (id, ..) in std::mem::take(&mut self.held_reports) {
+            self.actions.push(Action::Reply(id, self.redirect()));
+        }
+        self.read_term();
+    }
+
+    /// What came of a call about the term.
+    pub(super) fn on_term(&mut self, end: Finished<Purpose>) {
+        let now = self.now.steady;
+        match end.purpose {
+            Purpose::ReadTerm => {
+                if let Outcome::Page(page) = end.outcome {
+                    let held = page.pairs.iter().find(|p| p.key == keys::LEADER).and_then(|p| {
+                        Some((serde_json::from_value(p.value.clone()).ok()?, p.stamp))
+                    });
+                    self.term_key(held);
+                    self.follow_term(page.epoch);
+                }
+            }
+            Purpose::FollowTerm => {
+                self.following = false;
+                if let Outcome::News(news) = end.outcome {
+                    for item in &news.news {
+                        if item.write.as_deref() == Some(keys::LEADER)
+                            && let Ok(record) = serde_json::from_value(item.value.clone())
+                        {
+                            self.term_key(Some((record, item.stamp)));
+                        } else if item.remove.as_deref() == Some(keys::LEADER) {
+                            // Of an older term than ours, the removal says nothing.
+                            if !self.term.holds() || item.stamp > self.term.token {
+                                self.term_key(None);
+                            }
+                        }
+                    }
+                    self.follow_term(news.epoch);
+                }
+            }
+            Purpose::Grant { asked, .. } => match end.outcome {
+                Outcome::Granted(grant) => {
+                    self.term.extended_at = asked;
+                    self.term.advance(Phase::Acquiring(grant));
+                    let record = LeaderRecord {
+                        node: self.settings.host_name.clone(),
+                        process: self.process,
+                    };
+                    let commit = Commit {
+                        when: vec![When { key: keys::LEADER.into(), stamp: 0 }],
+                        apply: vec![Change::Write {
+                            write: keys::LEADER.into(),
+                            value: serde_json::to_value(&record).unwrap_or_default(),
+                            mooring: Some(grant),
+                        }],
+                    };
+                    let purpose = Purpose::Acquire { era: self.term.era };
+                    let until = now + STORE_TIMEOUT_MS;
+                    self.store.push(
+                        Call::Commit(commit),
+                        purpose,
+                        Urgency::Term,
+                        Patience::Once(until),
+                    );
+                }
+                _ => self.campaign_failed(),
+            },
+            Purpose::Acquire { .. } => match end.outcome {
+                Outcome::Committed(epoch) => self.acquired(epoch),
+                // It may have been applied: the key tells. If it shows nothing of ours, the
+                // lease is left to run out and the next campaign takes a new one.
+                Outcome::Unknown => {
+                    self.read_term();
+                    self.campaign_failed();
+                }
+                _ => self.campaign_failed(),
+            },
+            Purpose::Extend { asked, .. } => match end.outcome {
+                Outcome::Granted(_) => self.term.extended_at = self.term.extended_at.max(asked),
+                Outcome::NoGrant | Outcome::Missing { .. } => self.step_down("its lease has ended"),
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+
+    fn campaign_failed(&mut self) {
+        if matches!(self.term.phase(), Phase::Granting | Phase::Acquiring(_)) {
+            let wait = CAMPAIGN_RETRY_MS + self.rng.random_range(0..=CAMPAIGN_JITTER_MS);
+            self.term.advance(Phase::Vacant(self.now.steady + wait));
+            self.read_term();
+        }
+    }
+
+    /// A page of what a new leader reads: all jobs, then all chunks, then the ledger.
+    pub(super) fn on_load(&mut self, outcome: Outcome, era: u64, load: &Purpose) {
+        let Some(mut leader) = self.loading.take() else { return };
+        let Outcome::Page(page) = outcome else {
+            self.loading = Some(leader);
+            return;
+        };
+        let (now, wall) = (self.now.steady, self.now.wall);
+        let (prefix, next) = match load {
+            Purpose::LoadJobs { .. } => {
+                leader.load_jobs(&page, now, wall);
+                (keys::JOBS, Some((keys::BINDINGS, Purpose::LoadBindings { era })))
+            }
+            Purpose::LoadBindings { .. } => {
+                leader.load_bindings(&page, now);
+                (keys::BINDINGS, Some((keys::SHEETS, Purpose::LoadSheets { era })))
+            }
+            _ => {
+                leader.load_sheets(&page, now);
+                (keys::SHEETS, None)
+            }
+        };
+        let more = page.pairs.last().filter(|_| page.has_next).map(|p| p.key.clone());
+        let (prefix, purpose) = match (&more, next) {
+            (Some(_), _) => (prefix, load.clone()),
+            (None, Some(next)) => next,
+            (None, None) => return self.loaded(leader, era),
+        };
+        self.loading = Some(leader);
+        let call = Call::List { prefix: prefix.into(), from: more };
+        self.store.push(call, purpose, Urgency::Term, Patience::Always);
+    }
+
+    fn loaded(&mut self, mut leader: Tables, era: u64) {
+        if !self.term.advance(Phase::Leading) {
+            self.step_down("a newer term was seen while reading the store");
+            return;
+        }
+        let now = self.now.steady;
+        leader.index(now);
+        leader.since = now;
+        let from = leader.follow_from;
+        tracing::info!(
+            term = leader.token,
+            jobs = leader.jobs.len(),
+            machines = leader.machines.len(),
+            "leading"
+        );
+        self.leader = Some(leader);
+        self.follow_jobs(from, era);
+        self.keep_types();
+        for (id, report, relayed) in std::mem::take(&mut self.held_reports) {
+            self.on_report(id, report, relayed);
+        }
+    }
+
+    fn follow_jobs(&mut self, from: u64, era: u64) {
+        let call = Call::Follow { prefix: keys::JOBS.into(), from };
+        self.store.push(call, Purpose::FollowJobs { era }, Urgency::Term, Patience::Always);
+    }
+
+    pub(super) fn on_follow_jobs(&mut self, outcome: Outcome, era: u64) {
+        let (now, wall) = (self.now.steady, self.now.wall);
+        let Some(leader) = &mut self.leader else { return };
+        match outcome {
+            Outcome::News(news) => {
+                for item in &news.news {
+                    leader.on_news(item, now, wall);
+                }
+                leader.follow_from = news.epoch;
+                self.follow_jobs(news.epoch, era);
+            }
+            // Too far behind: a new term reads everything anew.
+            _ => self.step_down("the watch of jobs was lost"),
+        }
+    }
+}
--- a/src/cluster/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -6,115 +6,17 @@
 //! do they leave the sheet. A reader trusts a chunk for every launch up to the one it names, and
 //! the sheets beyond it.
 
-use super::leader::Leader;
 use super::{Ctx, Purpose};
+use crate::Time;
 use crate::constants::*;
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
-use crate::wire::state::{Commit, Page, When};
-use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::tables::{Passage, Sheet, SheetRecord, Tables, entry_bytes};
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use swiftsail_wire::state::{Commit, Page, When};
 
-/// What the store holds of a sheet.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct SheetRecord {
-    /// Number of the write.
-    #[serde(rename = "w")]
-    pub nonce: u64,
-    /// Bindings by job.
-    #[serde(rename = "b", default)]
-    pub bound: BTreeMap<String, Vec<Bound>>,
-}
-
-#[derive(Debug, Default)]
-struct Sheet {
-    stamp: u64,
-    entries: BTreeMap<(JobId, u32), u64>,
-    bytes: usize,
-    dirty: bool,
-}
-
-/// A transaction of the ledger on its way.
-#[derive(Debug, Clone)]
-struct Passage {
-    nonce: u64,
-    sheets: Vec<usize>,
-    bound: Vec<(JobId, u32, u64)>,
-    /// Keys still to be read after a conflict.
-    unread: Vec<String>,
-    applied: Option<u64>,
-}
-
-/// The sheets, and the transaction on its way.
-#[derive(Debug, Default)]
-pub struct Ledger {
-    sheets: Vec<Sheet>,
-    passage: Option<Passage>,
-    written_at: Time,
-}
-
-impl Ledger {
-    /// Notes a new binding, to be written soon.
-    pub fn add(&mut self, job: &JobId, task: u32, launch: u64, value_bytes: usize) {
-        let size = entry_bytes(job);
-        let most = value_bytes.min(SHEET_BYTES);
-        let room = |s: &Sheet| s.bytes + size <= most;
-        let index = match self.sheets.iter().position(room) {
-            Some(n) => n,
-            None => {
-                self.sheets.push(Sheet::default());
-                self.sheets.len() - 1
-            }
-        };
-        self.forget(job, task);
-        let sheet = &mut self.sheets[index];
-        sheet.entries.insert((job.clone(), task), launch);
-        sheet.bytes += size;
-        sheet.dirty = true;
-    }
-
-    /// Bindings that the ledger may still take: what is beyond waits for chunks to take some over.
-    pub fn room(&self) -> usize {
-        LEDGER_MOST.saturating_sub(self.len())
-    }
-
-    /// Bindings on the sheets.
-    pub fn len(&self) -> usize {
-        self.sheets.iter().map(|s| s.entries.len()).sum()
-    }
-
-    /// Whether no binding is on a sheet.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// A chunk that holds this binding is committed.
-    pub fn taken_over(&mut self, job: &JobId, task: u32, launch: u64) {
-        let key = (job.clone(), task);
-        for sheet in &mut self.sheets {
-            if sheet.entries.get(&key) == Some(&launch) {
-                sheet.entries.remove(&key);
-                sheet.bytes = sheet.bytes.saturating_sub(entry_bytes(job));
-            }
-        }
-    }
-
-    fn forget(&mut self, job: &JobId, task: u32) {
-        let key = (job.clone(), task);
-        for sheet in &mut self.sheets {
-            if sheet.entries.remove(&key).is_some() {
-                sheet.bytes = sheet.bytes.saturating_sub(entry_bytes(job));
-            }
-        }
-    }
-}
-
-/// Bytes of a binding in JSON form, at most, with its job's name: as if it were the job's only one.
-fn entry_bytes(job: &JobId) -> usize {
-    job.len() + 8 + BINDING_BYTES
-}
-
-impl Leader {
+impl Tables {
     /// Takes over a page of sheets. To be called after all chunks are known.
     pub fn load_sheets(&mut self, page: &Page, now: Time) {
         for pair in &page.pairs {
@@ -134,7 +36,7 @@
                 let Some(job) = self.jobs.get_mut(&id) else { continue };
                 for bound in bound {
                     if job.restore_later(bound, now) {
-                        self.ledger.forget(&id, bound.task);
+                        self.ledger.forget(&id, bound.task, None);
                         let sheet = &mut self.ledger.sheets[number];
                         sheet.entries.insert((id.clone(), bound.task), bound.launch);
                         sheet.bytes += entry_bytes(&id);
@@ -208,7 +110,7 @@
             sheet.dirty |= later;
             let key = keys::sheet(n);
             commit.when.push(When { key: key.clone(), stamp: sheet.stamp });
-            commit.apply.push(super::bindings::put(key, &record));
+            commit.apply.push(super::chunks::put(key, &record));
             passage.sheets.push(n);
         }
         for id in named {
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,351 @@
+//! One controller: the pure core that turns events and time into state and actions.
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers by itself: [`Node::handle`] takes
+//! an event and the time, and leaves the actions to be done in [`Node::take_actions`].
+
+/// The leader's context, borrowed beside its tables.
+macro_rules! ctx {
+    ($node:expr) => {
+        Ctx {
+            now: $node.now.steady,
+            wall: $node.now.wall,
+            settings: &$node.settings,
+            store: &mut $node.store,
+        }
+    };
+}
+
+mod calls;
+mod chunks;
+mod lead;
+mod ledger;
+mod passes;
+mod peers;
+mod requests;
+mod status;
+mod workers;
+
+pub use calls::Purpose;
+pub use passes::{Passed as PassOutcome, pass, rent, tend};
+
+use crate::Time;
+use crate::cloud::{self, Cloud};
+use crate::constants::*;
+use crate::job::{FinalRecord, JobId, chunk_size, keys};
+use crate::machine::MachineType;
+use crate::settings::Settings;
+use crate::steering::Steering;
+use crate::store::{Call, Outcome, Patience, Store, Urgency};
+use crate::tables::Tables;
+use crate::term::{Phase, Term};
+use peers::Peer;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use requests::Requests;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::workers::{Direct, Report};
+use workers::Passed;
+
+/// Steady time and time of day, ms.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    /// Steady time.
+    pub steady: Time,
+    /// Time of day since the epoch.
+    pub wall: u64,
+}
+
+/// Number of a request that waits for its answer.
+pub type RequestId = u64;
+
+/// An answer to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    /// Status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When to come back, s.
+    pub retry_after: Option<u32>,
+}
+
+impl Reply {
+    /// An answer with a body.
+    pub fn new<T: serde::Serialize>(status: u16, body: &T) -> Reply {
+        Reply { status, body: swiftsail_wire::write(body), retry_after: None }
+    }
+    /// "Come back later."
+    pub fn later(why: &str) -> Reply {
+        let problem = swiftsail_wire::users::Problem { error: format!("{why}; try again later") };
+        Reply { retry_after: Some(RETRY_AFTER_S), ..Reply::new(503, &problem) }
+    }
+}
+
+/// What a user asks.
+#[derive(Debug)]
+pub enum Ask {
+    /// Submit: the body as it came.
+    Submit(Vec<u8>),
+    /// The state of a job.
+    Poll(String),
+    /// Cancel a job.
+    Cancel(String),
+    /// Health.
+    Health,
+}
+
+/// What happens to a node.
+#[derive(Debug)]
+pub enum Event {
+    /// Time passes.
+    Tick,
+    /// A user's request.
+    User(RequestId, Ask),
+    /// A worker's report, and whether another controller has passed it on.
+    Report(RequestId, Box<Report>, bool),
+    /// A worker's answer to a direct command.
+    Answer(Box<Report>),
+    /// The state service answered, or not.
+    Store(u64, Outcome),
+    /// The cloud answered, or not.
+    Cloud(Box<cloud::Call>, cloud::Outcome),
+    /// The leader's answer to a report passed on, or none.
+    Relayed(RequestId, Option<Reply>),
+    /// Another controller's heartbeat, or its answer to ours.
+    Beat(Beat),
+}
+
+/// What a node wants done.
+#[derive(Debug)]
+pub enum Action {
+    /// Answer a request.
+    Reply(RequestId, Reply),
+    /// Call the state service.
+    Store(u64, Call),
+    /// Call the cloud.
+    Cloud(cloud::Call),
+    /// Send commands straight to a worker.
+    Direct(String, Direct),
+    /// Pass a report on to the controller of that name.
+    Relay(RequestId, String, Box<Report>),
+    /// Send a heartbeat to every other controller.
+    Beat(Beat),
+}
+
+/// What the leader's functions work with.
+pub struct Ctx<'a> {
+    /// Steady time.
+    pub now: Time,
+    /// Time of day.
+    pub wall: u64,
+    /// The settings.
+    pub settings: &'a Settings,
+    /// The state service.
+    pub store: &'a mut Store<Purpose>,
+}
+
+/// One controller.
+pub struct Node {
+    settings: Arc<Settings>,
+    process: u64,
+    now: Now,
+    rng: StdRng,
+    term: Term,
+    store: Store<Purpose>,
+    cloud: Cloud,
+    leader: Option<Tables>,
+    loading: Option<Tables>,
+    types: Option<Arc<Vec<MachineType>>>,
+    steering: Steering,
+    scored: u64,
+    status_at: Time,
+    requests: Requests,
+    finals: HashMap<JobId, FinalRecord>,
+    final_order: VecDeque<JobId>,
+    counts: BTreeMap<String, (u32, u32)>,
+    peers: BTreeMap<String, Peer>,
+    passed: HashMap<String, Passed>,
+    held_reports: Vec<(RequestId, Box<Report>, bool)>,
+    read_at: Time,
+    beat_at: Time,
+    following: bool,
+    actions: Vec<Action>,
+    direct: Vec<(String, Direct)>,
+    types_asked: Time,
+}
+
+impl Node {
+    /// A node that has just started. `seed` feeds all its random choices.
+    pub fn new(settings: Arc<Settings>, seed: u64, now: Now) -> Node {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (rps, write_rps) = rates(&settings, false);
+        let cloud = Cloud::new(settings.settings.cloud.rps, now.steady);
+        let mut node = Node {
+            process: rng.random::<u64>() >> 1,
+            now,
+            rng,
+            term: Term::default(),
+            store: Store::new(rps, write_rps, now.steady),
+            cloud,
+            leader: None,
+            loading: None,
+            types: None,
+            steering: Steering::default(),
+            scored: 0,
+            status_at: 0,
+            requests: Requests::default(),
+            finals: HashMap::new(),
+            final_order: VecDeque::new(),
+            counts: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            passed: HashMap::new(),
+            held_reports: Vec::new(),
+            read_at: 0,
+            beat_at: 0,
+            following: false,
+            actions: Vec::new(),
+            direct: Vec::new(),
+            types_asked: 0,
+            settings,
+        };
+        node.read_term();
+        node.store.push(
+            Call::Get(keys::TYPES.into()),
+            Purpose::ReadTypes,
+            Urgency::Work,
+            Patience::Always,
+        );
+        node
+    }
+
+    /// The actions that have come up since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        let (calls, late) = self.store.pump(self.now.steady);
+        self.actions.extend(calls.into_iter().map(|(id, c)| Action::Store(id, c)));
+        for end in late {
+            self.on_store(end);
+        }
+        let calls = self.cloud.pump(self.now.steady);
+        self.actions.extend(calls.into_iter().map(Action::Cloud));
+        self.actions.extend(self.direct.drain(..).map(|(to, d)| Action::Direct(to, d)));
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, event: Event, now: Now) {
+        self.now = now;
+        match event {
+            Event::Tick => self.tick(),
+            Event::User(id, ask) => self.on_user(id, ask),
+            Event::Report(id, report, relayed) => self.on_report(id, report, relayed),
+            Event::Answer(report) => self.on_answer(&report),
+            Event::Store(id, outcome) => {
+                if let Some(end) = self.store.finish(id, outcome, now.steady) {
+                    self.on_store(end);
+                }
+            }
+            Event::Cloud(call, outcome) => self.on_cloud(&call, &outcome),
+            Event::Relayed(id, reply) => {
+                let reply = reply.filter(|r| r.status == 200).unwrap_or_else(|| self.redirect());
+                self.actions.push(Action::Reply(id, reply));
+            }
+            Event::Beat(beat) => self.on_beat(&beat),
+        }
+        self.place();
+    }
+
+    /// Whether this node leads.
+    pub fn leads(&self) -> bool {
+        self.term.phase() == Phase::Leading
+    }
+
+    /// Scores computed so far: what passes cost, whatever the processor's speed.
+    pub fn scored(&self) -> u64 {
+        self.scored
+    }
+
+    /// The leader's tables, if this node leads.
+    pub fn tables(&self) -> Option<&Tables> {
+        self.leader.as_ref()
+    }
+
+    fn tick(&mut self) {
+        let now = self.now.steady;
+        if let Phase::Vacant(at) = self.term.phase()
+            && now >= at
+        {
+            self.term.advance(Phase::Granting);
+            let purpose = Purpose::Grant { era: self.term.era, asked: now };
+            let call = Call::Grant { ttl_ms: GRANT_TTL_MS };
+            self.store.push(call, purpose, Urgency::Term, Patience::Once(now + STORE_TIMEOUT_MS));
+        }
+        if self.term.holds() && now >= self.term.extend_at {
+            self.term.extend_at = now + GRANT_EXTEND_MS;
+            let purpose = Purpose::Extend { era: self.term.era, asked: now };
+            let call = Call::Extend(self.term.grant);
+            self.store.push(call, purpose, Urgency::Term, Patience::Once(now + GRANT_EXTEND_MS));
+        }
+        // A look at the term now and then also tells whether the store is there.
+        if !self.term.holds() && now >= self.read_at + 2 * BEAT_MS {
+            self.read_term();
+        }
+        if self.types.is_none() && now >= self.types_asked + CLOUD_BACKOFF_MS {
+            self.types_asked = now;
+            self.cloud.push(cloud::Call::Types);
+        }
+        if now >= self.beat_at + BEAT_MS {
+            self.beat_at = now;
+            self.actions.push(Action::Beat(self.beat()));
+        }
+        if let Some(leader) = &mut self.leader {
+            self.direct.extend(leader.stops(now));
+        }
+        self.tend_fleet();
+        self.end_jobs();
+        if let Some(leader) = &mut self.leader {
+            let mut ctx = ctx!(self);
+            leader.write_ledger(&mut ctx);
+            leader.flush_all(&mut ctx);
+        }
+        self.sweep();
+        self.status();
+    }
+
+    fn remember_final(&mut self, id: &JobId, record: FinalRecord) {
+        if self.finals.insert(id.clone(), record).is_none() {
+            self.final_order.push_back(id.clone());
+            if self.final_order.len() > FINALS_CACHED
+                && let Some(oldest) = self.final_order.pop_front()
+            {
+                self.finals.remove(&oldest);
+            }
+        }
+    }
+
+    fn counts_of(&self, id: &str) -> (u32, u32) {
+        match &self.leader {
+            Some(leader) => leader.jobs.get(id).map_or((0, 0), |j| j.counts()),
+            None => self.counts.get(id).copied().unwrap_or((0, 0)),
+        }
+    }
+
+    fn chunk_tasks(&self) -> u32 {
+        chunk_size(&self.settings.settings.state)
+    }
+}
+
+/// Requests and writes a second for a node: together the nodes stay within the limits.
+fn rates(settings: &Settings, leads: bool) -> (f64, f64) {
+    let state = &settings.settings.state;
+    let others = settings.others.len();
+    let share = if others == 0 {
+        STORE_SHARE_ALL
+    } else if leads {
+        STORE_SHARE_ALL * STORE_SHARE_LEADER
+    } else {
+        STORE_SHARE_ALL * (1.0 - STORE_SHARE_LEADER) / others as f64
+    };
+    (state.rps * share, state.write_rps * share)
+}
--- /dev/null
+++ b/crates/core/src/node/passes.rs
@@ -0,0 +1,280 @@
+//! Plans applied: what placement and fleet want done, checked against the rules once more, on the
+//! tables themselves. Nothing else binds a task, and nothing else asks the cloud.
+
+use super::{Ctx, Node};
+use crate::Time;
+use crate::cloud::{self, Call, Cloud};
+use crate::constants::*;
+use crate::fleet::{self, FleetPlan};
+use crate::job::{JobId, MachineId};
+use crate::placement::{self, Plan, Step, View};
+use crate::tables::{Guard, Line, Tables, Wish, usable};
+use std::cmp::Reverse;
+
+/// What came of a pass.
+#[derive(Debug)]
+pub struct Passed {
+    /// Tasks bound.
+    pub bound: usize,
+    /// Scores computed: what it cost, whatever the processor's speed.
+    pub scored: u64,
+    /// Machines to rent, if the pass was a round and came to its end.
+    pub wishes: Option<Vec<Wish>>,
+}
+
+/// Plays a pass on the tables: a round (`full`), or what finds free room between rounds.
+pub fn pass(tables: &mut Tables, view: View, full: bool) -> Passed {
+    tables.begin_pass(view.now);
+    tables.count_rooms(view.types);
+    let mut guard = Guard::new(tables, &view.settings.settings.teams, view.types);
+    let promoted = promote(tables, &mut guard, view);
+    if promoted > 0 {
+        tables.count_rooms(view.types);
+    }
+    let mut plan = placement::plan(tables, view, full);
+    let (wishes, scored) = (plan.wishes.take(), plan.scored);
+    let bound = promoted + apply(tables, &mut guard, view, plan);
+    if wishes.is_some() {
+        tables.round_at = view.now;
+        tables.misses = 0;
+    }
+    Passed { bound, scored, wishes }
+}
+
+/// Asks for machines, the most wanted first. A rental that has not left yet takes more in, since the
+/// cloud's calls a second are few.
+pub fn rent(tables: &mut Tables, cloud: &mut Cloud, mut wishes: Vec<Wish>, now: Time) {
+    wishes.sort_by_key(|w| Reverse(w.number));
+    for wish in wishes {
+        let mut left = wish.number;
+        for (charter, asked) in tables.rentals.growing(&wish) {
+            let more = left.min(RENT_MOST.saturating_sub(asked.wish.number));
+            if more > 0 && cloud.enlarge(charter, asked.wish.number + more) {
+                asked.wish.number += more;
+                left -= more;
+            }
+        }
+        while left > 0 {
+            let number = left.min(RENT_MOST);
+            left -= number;
+            tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, number, "renting machines");
+            let part = Wish { number, ..wish.clone() };
+            let charter = tables.rentals.ask(tables.token, part.clone(), now);
+            cloud.push(Call::Rent(part.request(&charter)));
+        }
+    }
+}
+
+/// What the fleet needs, with every timer step. `sure`: the store has answered lately.
+pub fn tend(tables: &mut Tables, cloud: &mut Cloud, view: View, sure: bool) {
+    let now = view.now;
+    let rentals = &tables.rentals;
+    if now >= rentals.idle_at + IDLE_CHECK_MS || now >= rentals.moved_at + MOVES_MS {
+        tables.count_rooms(view.types);
+    }
+    let plan = fleet::plan(tables, view, sure);
+    if plan.list {
+        tables.rentals.listed_at = now;
+        tables.rentals.listing = true;
+        cloud.push(Call::List(None));
+    }
+    if plan.types {
+        tables.rentals.typed_at = now;
+        cloud.push(Call::Types);
+    }
+    apply_fleet(tables, plan, now);
+    let batch = tables.rentals.next_returns();
+    if !batch.is_empty() {
+        tracing::info!(machines = batch.len(), "returning machines");
+        cloud.push(Call::Return(batch.iter().map(|id| id.to_string()).collect()));
+    }
+}
+
+impl Node {
+    /// Plays a pass, if one is due.
+    pub(super) fn place(&mut self) {
+        let now = self.now.steady;
+        let Some(leader) = &mut self.leader else { return };
+        let Some(full) = placement::want_pass(leader, self.steering.round_ms, now) else { return };
+        let Some(types) = self.types.clone() else { return };
+        let settings = self.settings.clone();
+        let view = View { now, settings: &settings, types: &types, steering: &self.steering };
+        let passed = pass(leader, view, full);
+        self.scored += passed.scored;
+        rent(leader, &mut self.cloud, passed.wishes.unwrap_or_default(), now);
+        if passed.bound > 0 {
+            leader.write_ledger(&mut ctx!(self));
+        }
+    }
+
+    /// With every timer step: what the fleet needs.
+    pub(super) fn tend_fleet(&mut self) {
+        let now = self.now.steady;
+        let Some(leader) = &mut self.leader else { return };
+        let types = self.types.clone().unwrap_or_default();
+        let sure = self.store.last_ok.is_some_and(|at| now.saturating_sub(at) <= GRANT_TTL_MS);
+        let settings = self.settings.clone();
+        let view = View { now, settings: &settings, types: &types, steering: &self.steering };
+        tend(leader, &mut self.cloud, view, sure);
+    }
+
+    /// The cloud has answered, or not.
+    pub(super) fn on_cloud(&mut self, call: &Call, outcome: &cloud::Outcome) {
+        use cloud::Outcome;
+        let now = self.now.steady;
+        self.cloud.finish(outcome, now);
+        if let Outcome::Types(types) = outcome {
+            self.know_types(types);
+            self.keep_types_as(types);
+        }
+        let Some(leader) = &mut self.leader else { return };
+        match (call, outcome) {
+            (Call::Rent(rent), Outcome::Rented(berths)) => {
+                leader.rented(&rent.charter, &berths.berths, now);
+            }
+            (Call::Rent(rent), Outcome::NoCapacity | Outcome::Malformed(_)) => {
+                leader.refused(&rent.charter, now);
+            }
+            // The same name again: if it was served, the answer is the same and nothing is rented.
+            (Call::Rent(rent), _) => {
+                if leader.rentals.unanswered(&rent.charter) {
+                    self.cloud.push(call.clone());
+                }
+            }
+            (Call::Return(names), Outcome::Returned) => {
+                for name in names {
+                    leader.returned(&MachineId::from(name.as_str()), now);
+                }
+            }
+            (Call::Return(names), _) => {
+                for name in names {
+                    leader.rentals.not_returned(MachineId::from(name.as_str()));
+                }
+            }
+            (Call::List(_), Outcome::Listed(page)) => {
+                for id in leader.on_listing(page, now) {
+                    leader.want_return(&id, "it failed", now);
+                }
+                leader.rentals.listing = page.has_next;
+                if let Some(last) = page.berths.last().filter(|_| page.has_next) {
+                    self.cloud.push(Call::List(Some(last.name_id.clone())));
+                }
+            }
+            (Call::List(_), _) => leader.rentals.listing = false,
+            (Call::Types, _) => {}
+        }
+    }
+
+    /// Ends the jobs of which nothing is left to do.
+    pub(super) fn end_jobs(&mut self) {
+        let Some(leader) = &mut self.leader else { return };
+        for id in leader.take_ended() {
+            leader.end_if_over(&id, &mut ctx!(self));
+        }
+    }
+}
+
+/// The next of a line takes the room that its head has left. Those that the rules or the room refuse
+/// choose again. Returns how many were bound.
+fn promote(tables: &mut Tables, guard: &mut Guard, view: View) -> usize {
+    let lease = view.lease_ms();
+    let mut bound = 0;
+    for slot in tables.lines.headless(&tables.jobs) {
+        let mut line: Line = tables.lines.take(&slot);
+        let machine = &slot.0;
+        if !tables.machines.get(machine).is_some_and(|m| usable(m, view.now, lease)) {
+            continue;
+        }
+        // A line before it may have bound to the same machine.
+        tables.count_rooms(view.types);
+        let room = tables.machines.get(machine).and_then(|m| m.free()).unwrap_or_default();
+        while let Some(id) = line.pop_front() {
+            let fits = tables
+                .jobs
+                .get(&id)
+                .is_some_and(|j| room.holds(&j.spec) && !j.bad_machines.contains(machine));
+            if fits && let Some(task) = bind(tables, guard, view, &id, machine, None) {
+                bound += 1;
+                tables.lines.follow(&(machine.clone(), id, task), line);
+                break;
+            }
+        }
+    }
+    bound
+}
+
+/// Applies a round's plan. Returns how many tasks were bound.
+fn apply(tables: &mut Tables, guard: &mut Guard, view: View, plan: Plan) -> usize {
+    let mut bound = 0;
+    tables.lines = plan.lines;
+    for step in plan.steps {
+        match step {
+            Step::Bind(id, machine) => {
+                bound += usize::from(bind(tables, guard, view, &id, &machine, None).is_some());
+            }
+            Step::Gang(id, machines) => {
+                let launch = tables.next_launch();
+                let ok = machines
+                    .iter()
+                    .filter(|m| bind(tables, guard, view, &id, m, Some(launch)).is_some());
+                let ok = ok.count();
+                bound += ok;
+                // A part alone is never offered: it leaves, and the gang is planned anew.
+                if ok < machines.len()
+                    && let Some(job) = tables.jobs.get_mut(&id)
+                {
+                    job.regroup = true;
+                }
+            }
+            Step::Preempt { by, fetch_ms, victims } => {
+                for (id, task) in victims {
+                    tracing::debug!(job = %id, task, by = %by, "task preempted");
+                    tables.want_stop(&id, task, view.now);
+                }
+                tables.preempting.insert(by, (view.now, fetch_ms));
+            }
+        }
+    }
+    tables.stir |= plan.cut_short;
+    bound
+}
+
+/// Binds a job's next waiting task, if the rules allow it. `launch`: the number that a gang shares.
+fn bind(
+    tables: &mut Tables,
+    guard: &mut Guard,
+    view: View,
+    id: &JobId,
+    machine: &MachineId,
+    launch: Option<u64>,
+) -> Option<u32> {
+    if let Err(why) = guard.check(tables, id, machine, launch.is_some()) {
+        tracing::debug!(job = %id, machine = %machine, ?why, "a planned binding is refused");
+        return None;
+    }
+    let value = (view.settings.settings.state.value_kb * 1024.0) as usize;
+    let launch = launch.unwrap_or_else(|| tables.next_launch());
+    let task = tables.bind(id, machine, launch, value - value / 32, view.now)?;
+    if let Some(job) = tables.jobs.get(id) {
+        guard.count(&job.spec);
+    }
+    Some(task)
+}
+
+fn apply_fleet(tables: &mut Tables, plan: FleetPlan, now: Time) {
+    for (id, why) in plan.returns {
+        tables.want_return(&id, why, now);
+    }
+    for (job, task) in plan.stops {
+        tables.want_stop(&job, task, now);
+    }
+    for (id, standing) in plan.standings {
+        tables.machine(&id, now).advance(standing);
+    }
+    if plan.idle {
+        tables.rentals.idle_at = now;
+    }
+    if plan.moves {
+        tables.rentals.moved_at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/peers.rs
@@ -0,0 +1,56 @@
+//! The other controllers: heartbeats, and what they vouch for.
+
+use super::Node;
+use crate::constants::*;
+use crate::tables::Tables;
+use crate::term::Voucher;
+use swiftsail_wire::controllers::Beat;
+
+/// What is known of another controller.
+pub(super) struct Peer {
+    pub voucher: Voucher,
+    pub leads: bool,
+}
+
+impl Node {
+    /// This node's heartbeat.
+    pub fn beat(&self) -> Beat {
+        let ok = self.store.last_ok.unwrap_or(0);
+        let away = self.store.away() || self.store.last_ok.is_none();
+        Beat {
+            node: self.settings.host_name.clone(),
+            token: self.term.highest,
+            leads: self.leads(),
+            store_age_ms: if away { self.now.steady.saturating_sub(ok) } else { 0 },
+            counts: self.leader.as_ref().map(Tables::counts).unwrap_or_default(),
+        }
+    }
+
+    pub(super) fn on_beat(&mut self, beat: &Beat) {
+        if !self.settings.others.iter().any(|o| o.host_name == beat.node) {
+            return;
+        }
+        if self.term.saw(beat.token) {
+            self.step_down("another controller knows a newer token");
+        }
+        if beat.leads && beat.token >= self.term.highest {
+            self.term.held_by(&beat.node, beat.token);
+            self.counts = beat.counts.iter().map(|(id, d, r)| (id.clone(), (*d, *r))).collect();
+        }
+        let voucher =
+            Voucher { heard: self.now.steady, store_age_ms: beat.store_age_ms, token: beat.token };
+        self.peers.insert(beat.node.clone(), Peer { voucher, leads: beat.leads });
+    }
+
+    /// Whether users should be sent here: not while this node alone is without the store.
+    pub(super) fn healthy(&self) -> bool {
+        if self.store.last_ok.is_none() {
+            return false;
+        }
+        let now = self.now.steady;
+        let others_have_it = self.peers.values().any(|p| {
+            now.saturating_sub(p.voucher.heard) <= BEAT_FRESH_MS && p.voucher.store_age_ms == 0
+        });
+        !(self.store.away() && others_have_it)
+    }
+}
--- a/src/cluster/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -1,14 +1,13 @@
 //! Users' requests. Every answer about a job that is not over comes from a read of the store that
 //! began after the request came; identical reads are merged.
 
-use super::{Ask, Node, Purpose, Reply, RequestId};
-use crate::cluster::Action;
+use super::{Action, Ask, Node, Purpose, Reply, RequestId};
 use crate::constants::*;
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
-use crate::wire::state::{Change, Commit, When};
-use crate::wire::users::{JobAnswer, Problem, Status, read_submission, valid_id};
 use std::collections::HashMap;
+use swiftsail_wire::state::{Change, Commit, When};
+use swiftsail_wire::users::{JobAnswer, Problem, Status, read_submission, valid_id};
 
 /// What to do once a job's record is known.
 #[derive(Debug)]
@@ -126,7 +125,7 @@
                 When { key: keys::job(&id), stamp: 0 },
                 When { key: keys::end(&id), stamp: 0 },
             ],
-            apply: vec![super::bindings::put(keys::job(&id), &record)],
+            apply: vec![super::chunks::put(keys::job(&id), &record)],
         };
         let until = self.now.steady + USER_STORE_TIMEOUT_MS;
         let purpose = Purpose::Create { request, job: id };
--- /dev/null
+++ b/crates/core/src/node/workers.rs
@@ -0,0 +1,114 @@
+//! Workers' reports: answered by the leader, passed on or sent on by the others.
+
+use super::{Action, Node, Reply, RequestId};
+use crate::Time;
+use crate::constants::*;
+use crate::tables::Source;
+use crate::term::{Voucher, may_answer};
+use swiftsail_wire::workers::{Redirect, Report};
+
+/// What this node, not leading, has done with a worker's reports.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct Passed {
+    relayed: Time,
+    redirected: Time,
+    relay_until: Time,
+}
+
+impl Node {
+    /// Where a worker should report instead.
+    pub(super) fn redirect(&self) -> Reply {
+        let leader = self.term.leader.clone().filter(|l| *l != self.settings.host_name);
+        Reply::new(421, &Redirect { harbor: leader })
+    }
+
+    pub(super) fn on_report(&mut self, id: RequestId, report: Box<Report>, relayed: bool) {
+        if self.term.saw(report.helm) {
+            self.step_down("a worker has seen a newer token");
+        }
+        if self.loading.is_some() && self.held_reports.len() < HELD_REPORTS_MOST {
+            self.held_reports.push((id, report, relayed));
+            return;
+        }
+        if !self.leads() {
+            // What another node has passed on is not passed on again: the two could disagree for
+            // ever on who leads.
+            if relayed {
+                return self.actions.push(Action::Reply(id, self.redirect()));
+            }
+            return self.pass_on(id, report);
+        }
+        let reply = if !self.may_answer() {
+            Reply::later("without the state service this node may not answer for the controllers")
+        } else if let Some(leader) = &mut self.leader {
+            let types = self.types.as_deref().map_or(&[][..], Vec::as_slice);
+            let orders = leader.on_report(&report, Source::Report, self.now.steady, types);
+            Reply::new(200, &orders)
+        } else {
+            self.redirect()
+        };
+        self.actions.push(Action::Reply(id, reply));
+        self.end_jobs();
+    }
+
+    /// Not leading: a worker's first report is passed on to the leader, so that its lease lives;
+    /// the next is answered with the way there. A worker that comes back could not reach the
+    /// leader (a cut between them) and is served through this node for a while. The answer passed
+    /// on is always the leader's own.
+    pub(super) fn pass_on(&mut self, id: RequestId, report: Box<Report>) {
+        let now = self.now.steady;
+        let near = self.term.leader.as_ref().and_then(|l| {
+            let peer = self.peers.get(l)?;
+            let fresh = now.saturating_sub(peer.voucher.heard) <= BEAT_FRESH_MS;
+            (fresh && peer.leads).then(|| l.clone())
+        });
+        if self.passed.len() >= RELAYED_MOST {
+            self.passed.clear();
+        }
+        let passed = self.passed.entry(report.berth.clone()).or_default();
+        let recent = |at: Time| at > 0 && now.saturating_sub(at) <= CAME_BACK_MS;
+        let Some(leader) = near else {
+            // Where this node has lost the leader, a worker of its zone will not reach it either:
+            // named again and again, the leader would keep it from ever trying the third node.
+            let lost = self.term.leader.as_ref().is_some_and(|l| self.peers.contains_key(l));
+            let reply = if lost && report.dock == self.settings.site || recent(passed.redirected) {
+                Reply::new(421, &Redirect { harbor: None })
+            } else {
+                passed.redirected = now;
+                self.redirect()
+            };
+            return self.actions.push(Action::Reply(id, reply));
+        };
+        if now >= passed.relay_until && recent(passed.redirected) {
+            passed.relay_until = now + RELAY_MS;
+        } else if now >= passed.relay_until && recent(passed.relayed) {
+            *passed = Passed { redirected: now, ..Passed::default() };
+            let reply = self.redirect();
+            return self.actions.push(Action::Reply(id, reply));
+        }
+        passed.relayed = now;
+        passed.redirected = 0;
+        self.actions.push(Action::Relay(id, leader, report));
+    }
+
+    pub(super) fn on_answer(&mut self, report: &Report) {
+        if self.term.saw(report.helm) {
+            self.step_down("a worker has seen a newer token");
+        }
+        if let Some(leader) = &mut self.leader {
+            let types = self.types.as_deref().map_or(&[][..], Vec::as_slice);
+            leader.on_report(report, Source::Answer, self.now.steady, types);
+        }
+        self.end_jobs();
+    }
+
+    pub(super) fn may_answer(&self) -> bool {
+        let workers = &self.settings.settings.workers;
+        let spare = ((workers.cancel_s - workers.lease_s) * MS_PER_S) as u64;
+        let limit = spare.saturating_sub(FADE_MARGIN_MS).max(FADE_LEAST_MS.min(spare / 2));
+        let vouchers: Vec<Voucher> = self.peers.values().map(|p| p.voucher).collect();
+        let ok = self.store.last_ok.unwrap_or(0);
+        let all = self.settings.controllers();
+        may_answer(self.now.steady, self.term.token, ok, limit, &vouchers, all)
+    }
+}
--- a/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -3,6 +3,7 @@
 use super::ends::EndId;
 use super::places::{Place, What};
 use super::round::Round;
+use crate::Time;
 use crate::constants::*;
 use crate::job::*;
 use crate::machine::Room;
@@ -25,6 +26,10 @@
 pub(super) struct Chooser {
     pub id: JobId,
     pub spec: Arc<Spec>,
+    /// Pruning threshold.
+    pub threshold: f64,
+    /// Largest share of CPUs on spot machines when one is rented for it.
+    pub spot_share: f64,
     pub due: Option<Time>,
     pub overdue: bool,
     pub left: u32,
@@ -84,18 +89,21 @@
     }
 }
 
-impl Round<'_, '_> {
+impl Round<'_> {
     /// A job as a chooser.
     pub fn chooser(&mut self, id: &JobId) -> Option<Chooser> {
-        let job = self.leader.jobs.get(id)?;
+        let job = self.tables.jobs.get(id)?;
         let spec = job.spec.clone();
+        let steered = self.view.steering.of(id);
         let mut c = Chooser {
             id: id.clone(),
+            threshold: steered.threshold,
+            spot_share: steered.spot_share,
             due: job.due,
             overdue: job.missed,
-            left: (job.waiting.len() as u32).saturating_sub(job.lined),
+            left: self.free_tasks(job),
             bad: job.bad_machines.iter().cloned().collect(),
-            team: self.ctx.settings.settings.teams.iter().position(|t| t.name == spec.team),
+            team: self.view.settings.settings.teams.iter().position(|t| t.name == spec.team),
             zone: None,
             in_zone: Vec::new(),
             unplaced: 0,
@@ -108,7 +116,16 @@
             scores: HashMap::new(),
             spec,
         };
-        let allowed: Vec<bool> = self.types.iter().map(|t| t.allows(&c.spec)).collect();
+        let mut allowed: Vec<bool> = self.types.iter().map(|t| t.allows(&c.spec)).collect();
+        // What is to be avoided is, unless nothing else is allowed: every accepted job must run.
+        let kept: Vec<bool> = allowed
+            .iter()
+            .zip(self.types)
+            .map(|(a, t)| *a && !steered.avoid.contains(&t.name))
+            .collect();
+        if kept.contains(&true) {
+            allowed = kept;
+        }
         // Every type that the job allows has accelerators that it does not need, or only the
         // others count.
         let mut both = allowed.iter().zip(self.types.iter());
@@ -121,7 +138,7 @@
         if c.spec.spread || c.spec.one_zone {
             let held = job.attempts.values().filter(|a| a.occupies());
             let zones: Vec<Option<String>> = held
-                .map(|a| self.leader.machines.get(&a.machine).map(|m| m.zone.clone()))
+                .map(|a| self.tables.machines.get(&a.machine).map(|m| m.zone.clone()))
                 .collect();
             for zone in zones {
                 // A machine whose zone is not known could be in any: it counts in all.
@@ -157,16 +174,15 @@
         if let Some(score) = c.scores.get(&(end, here)) {
             return *score;
         }
-        self.leader.scored += 1;
+        self.out.scored += 1;
         let t = &self.types[kind];
         let fetch = if here { 0.0 } else { t.fetch_ms(&c.spec) };
         let before = self.ends.get(end);
         let score = if c.spec.kind == Kind::Service {
             Score { chance: 1.0, mean: before.mean() + fetch }
         } else {
-            let history = self.leader.history.of(&c.id, &c.spec.class, c.spec.estimate_s);
-            let run = history.run_time(&t.name);
-            let end = before.convolve(run).later(fetch);
+            let run = self.tables.history.run_time(&c.id, &c.spec, &t.name);
+            let end = before.convolve(&run).later(fetch);
             Score { chance: c.due.map_or(1.0, |d| end.chance(d as f64)), mean: end.mean() }
         };
         c.scores.insert((end, here), score);
@@ -210,7 +226,7 @@
     /// The best place above the threshold; without `passing`, the best.
     fn pick(&mut self, c: &mut Chooser, passing: bool) -> Option<(usize, Score)> {
         let (index, score) = self.best(c)?;
-        if passing && score.chance <= THRESHOLD {
+        if passing && score.chance <= c.threshold {
             return None;
         }
         // Without a deadline every place passes: a line is worth waiting in only if a machine
@@ -219,7 +235,7 @@
             && matches!(self.places[index].what, What::Line(_))
             && self.rental(c, true).is_some_and(|(kind, ..)| {
                 let t = &self.types[kind];
-                let up = self.ctx.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
+                let up = self.view.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
                 up + self.run_guess(c, kind).mean() < score.mean
             })
         {
@@ -246,7 +262,7 @@
             let Some((n, place, _)) = best else { break };
             let c = &mut choosers[n];
             let lined = matches!(self.places[place].what, What::Line(_));
-            if !lined && !self.within_limit(c.team, &c.spec) {
+            if !lined && !self.within_limit(c.team, &Room::of(&c.spec)) {
                 // Nothing more of it fits its team's limit, wherever: not tried again in this
                 // round, or a job at the limit would try for ever.
                 c.left = 0;
@@ -270,18 +286,16 @@
         match place.what.clone() {
             What::Now => {
                 let Some(machine) = place.machine.clone() else { return false };
-                // The rules once more, on the tables themselves.
-                if !self.allowed(&c.id, &machine) || self.bind(&c.id, &machine).is_none() {
+                if !self.bind(c, machine) {
                     return false;
                 }
                 self.places[index].room.take(&each);
             }
             What::Line(slot) => {
-                let Some(job) = self.leader.jobs.get_mut(&c.id) else { return false };
-                self.leader.lines.join(slot.clone(), job);
+                self.out.lines.join(slot.clone(), &c.id);
                 let end = self.end_after(self.places[index].end, &c.id, kind);
                 self.places[index].end = end;
-                if !self.leader.lines.has_room(&slot) {
+                if !self.out.lines.has_room(&slot, self.view.steering.line_cap) {
                     self.places[index].room = Room::default();
                 }
             }
--- a/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -2,25 +2,26 @@
 
 use super::chooser::Chooser;
 use super::places::What;
-use super::round::Round;
+use super::round::{Round, Step};
 use crate::machine::Room;
 
-impl Round<'_, '_> {
+impl Round<'_> {
     /// Places a gang whole or not at all; otherwise plans the machines it lacks.
     pub fn place_gang(&mut self, c: &mut Chooser) {
-        let Some(job) = self.leader.jobs.get(&c.id) else { return };
+        let Some(job) = self.tables.jobs.get(&c.id) else { return };
         // All that are not done yet. Once one is done all are, but a task that was lost before
         // its exit was seen must start again to say so.
         if !job.attempts.is_empty() || c.left as usize + job.done.len() < c.spec.tasks as usize {
             return;
         }
         let missing = c.left;
-        let ledger = &self.leader.ledger;
-        if ledger.room() < missing as usize && !ledger.is_empty() {
+        let ledger = &self.tables.ledger;
+        let room = ledger.room().saturating_sub(self.binds);
+        if room < missing as usize && !(ledger.is_empty() && self.binds == 0) {
             return;
         }
         let each = Room::of(&c.spec);
-        let mut whole = (*c.spec).clone();
+        let mut whole = Room::default();
         (whole.cpus, whole.gpus) = (each.cpus * f64::from(missing), each.gpus * f64::from(missing));
         if !self.within_limit(c.team, &whole) {
             return;
@@ -28,8 +29,7 @@
         c.search(false);
         let zones: Vec<Option<usize>> = if c.spec.one_zone {
             // Zones without any machine count too, or a gang would wait for ever in an empty cluster.
-            let types = self.types.clone();
-            for zone in types.iter().flat_map(|t| &t.zones) {
+            for zone in self.types.iter().flat_map(|t| &t.zones) {
                 self.zone_number(zone);
             }
             (0..self.zones.len()).map(Some).collect()
@@ -64,14 +64,17 @@
                     }
                 }
                 if need == 0 && now_only {
-                    let launch = self.leader.next_launch();
+                    let mut machines = Vec::new();
                     for (i, take) in used {
                         let Some(machine) = self.places[i].machine.clone() else { return };
                         for _ in 0..take {
-                            self.bind_as(&c.id, &machine, launch);
+                            machines.push(machine.clone());
                             self.places[i].room.take(&each);
+                            self.plan_use(c.team, &each);
                         }
                     }
+                    self.binds += machines.len();
+                    self.out.steps.push(Step::Gang(c.id.clone(), machines));
                     c.left = 0;
                     return;
                 }
--- a/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,4 +1,5 @@
-//! The round: which waiting task goes where. The thesis's PAM, with gangs, limits and zones.
+//! The round: which waiting task goes where. The thesis's PAM, with gangs, limits and zones. It reads
+//! the tables and gives back a [`Plan`], which the node applies.
 //!
 //! A pass costs what has changed and what waits, not the number of machines times the number of
 //! tasks: places whose end is alike share one mass function ([`ends::Ends`]), each chooser computes
@@ -7,12 +8,9 @@
 mod chooser;
 mod ends;
 mod gangs;
-mod lines;
 mod places;
 mod preempt;
 mod rental;
 mod round;
 
-pub use lines::Lines;
-pub use places::Reserve;
-pub use round::{pass, want_pass};
+pub use round::{Plan, Step, View, plan, want_pass};
--- a/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -1,14 +1,14 @@
 //! Places: where a task could go.
 
 use super::ends::{Alike, EndId};
-use super::lines::Slot;
 use super::round::Round;
+use crate::Time;
 use crate::chance::Pmf;
-use crate::cluster::leader::Leader;
 use crate::constants::*;
 use crate::job::*;
-use crate::machine::{Machine, MachineType, Room, Standing};
-use std::collections::{BTreeMap, HashMap};
+use crate::machine::{Room, Standing};
+use crate::tables::{Slot, usable};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// What a place is.
@@ -65,108 +65,7 @@
     }
 }
 
-impl Leader {
-    /// Counts the free room of the machines whose work has changed.
-    pub fn count_rooms(&mut self, types: &[MachineType]) {
-        for machine in self.machines.values_mut().filter(|m| m.free().is_none()) {
-            if let Some(kind) = types.iter().find(|t| t.name == machine.kind) {
-                let (free, anchored) = free_room(&self.jobs, machine, kind);
-                machine.counted(free, anchored);
-            }
-        }
-    }
-}
-
-/// Room left on a machine, and whether replicas are on it, counted from the tables.
-fn free_room(jobs: &BTreeMap<JobId, Job>, machine: &Machine, kind: &MachineType) -> (Room, bool) {
-    let (mut room, mut anchored) = (kind.room(), false);
-    for (job, task) in machine.tasks.keys() {
-        if let Some(job) = jobs.get(job)
-            && job.attempts.get(task).is_some_and(Attempt::occupies)
-        {
-            room.take(&Room::of(&job.spec));
-            anchored |= job.spec.kind == Kind::Service;
-        }
-    }
-    for stray in machine.strays.values() {
-        // What a stray takes is not always known: then the machine has no room.
-        match stray {
-            Some(each) => room.take(each),
-            None => room = Room::default(),
-        }
-    }
-    (room, anchored)
-}
-
-/// Whether a machine may be given work.
-pub(super) fn usable(machine: &Machine, now: Time, lease_ms: f64) -> bool {
-    let quiet =
-        machine.heard.is_none_or(|at| now.saturating_sub(at) as f64 > lease_ms * QUIET_SHARE);
-    machine.standing() == Standing::Ready
-        && !machine.suspect
-        && machine.recall_at.is_none()
-        && !quiet
-}
-
-/// How many more tasks of each service class than now would find room at once: what an idle
-/// machine adds beyond the wanted reserve may be returned.
-#[derive(Debug)]
-pub struct Reserve {
-    classes: Vec<(Arc<Spec>, u32)>,
-}
-
-impl Reserve {
-    /// Counts over all machines.
-    pub fn count(leader: &mut Leader, types: &[MachineType]) -> Reserve {
-        leader.count_rooms(types);
-        let mut classes: BTreeMap<&str, &Arc<Spec>> = BTreeMap::new();
-        for job in leader.jobs.values().filter(|j| j.spec.kind == Kind::Service && !j.cancelled()) {
-            classes.entry(&job.spec.class).or_insert(&job.spec);
-        }
-        let classes: Vec<Arc<Spec>> = classes.into_values().cloned().collect();
-        let mut reserve = Reserve { classes: classes.into_iter().map(|s| (s, 0)).collect() };
-        for machine in leader.machines.values() {
-            for (spec, found) in &mut reserve.classes {
-                *found += holds(machine, types, spec);
-            }
-        }
-        reserve
-    }
-
-    /// Whether a machine is needed for the reserve. If it is not, it no longer counts.
-    pub fn needs(&mut self, machine: &Machine, types: &[MachineType]) -> bool {
-        let needs = |(spec, found): &(Arc<Spec>, u32)| {
-            let here = holds(machine, types, spec);
-            here > 0 && *found < RESERVE_TASKS + here
-        };
-        if self.classes.iter().any(needs) {
-            return true;
-        }
-        for (spec, found) in &mut self.classes {
-            *found -= holds(machine, types, spec).min(*found);
-        }
-        false
-    }
-}
-
-/// Tasks of a service that a machine could take at once. One that boots does not count: a machine
-/// that is up was returned for one that came up a minute late, and a service waited for it.
-fn holds(machine: &Machine, types: &[MachineType], spec: &Spec) -> u32 {
-    let able = machine.standing() == Standing::Ready;
-    let Some(kind) = types.iter().find(|t| t.name == machine.kind) else { return 0 };
-    if !able
-        || machine.suspect
-        || machine.recall_at.is_some()
-        || machine.spot && !spec.spot
-        || !kind.allows(spec)
-        || kind.wasted_on(spec)
-    {
-        return 0;
-    }
-    machine.free().unwrap_or_default().fits(&Room::of(spec))
-}
-
-impl Round<'_, '_> {
+impl Round<'_> {
     /// The number of a zone.
     pub fn zone_number(&mut self, zone: &str) -> usize {
         match self.zones.iter().position(|z| z == zone) {
@@ -186,20 +85,19 @@
 
     /// The end of a place once another task of a job stands before it.
     pub fn end_after(&mut self, end: EndId, id: &JobId, kind: usize) -> EndId {
-        let Some(job) = self.leader.jobs.get(id) else { return end };
-        let name = &self.types[kind].name;
-        let run = self.leader.history.of(id, &job.spec.class, job.spec.estimate_s).run_time(name);
+        let Some(job) = self.tables.jobs.get(id) else { return end };
+        let run = self.tables.history.run_time(id, &job.spec, &self.types[kind].name);
         self.ends.number(Alike::After(end, id.clone()), |all| {
-            let end = all[end].convolve(run);
+            let end = all[end].convolve(&run);
             job.due.map_or(end.clone(), |d| end.cut(d as f64))
         })
     }
 
     /// When the head of a slot ends.
     pub fn head_end(&mut self, slot: &Slot) -> Option<(usize, EndId)> {
-        let now = self.ctx.now as f64;
-        let machine = self.leader.machines.get(&slot.0)?;
-        let job = self.leader.jobs.get(&slot.1)?;
+        let now = self.view.now as f64;
+        let machine = self.tables.machines.get(&slot.0)?;
+        let job = self.tables.jobs.get(&slot.1)?;
         if job.spec.kind == Kind::Service {
             return None;
         }
@@ -211,14 +109,13 @@
             None => Alike::Fetches(kind, slot.1.clone(), step(attempt.since)),
         };
         let t = &self.types[kind];
-        let run =
-            self.leader.history.of(&slot.1, &job.spec.class, job.spec.estimate_s).run_time(&t.name);
+        let run = self.tables.history.run_time(&slot.1, &job.spec, &t.name);
         let (ran, since) = (attempt.ran_at, attempt.since);
         let end = self.ends.number(alike, |_| match ran {
             Some(at) => run.remaining(now - at as f64).later(now),
             None => {
                 let fetch = t.fetch_ms(&job.spec) - (now - since as f64);
-                run.clone().later(now + fetch.max(0.0))
+                Pmf::clone(&run).later(now + fetch.max(0.0))
             }
         });
         Some((kind, end))
@@ -226,12 +123,12 @@
 
     /// Lists the places there are.
     pub fn open_places(&mut self) {
-        let now = self.ctx.now;
-        let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
-        let types = self.types.clone();
+        let now = self.view.now;
+        let lease = self.view.lease_ms();
+        let types = self.types;
         let mut slots: Vec<(usize, Slot, Room)> = Vec::new();
-        let machines = std::mem::take(&mut self.leader.machines);
-        for (id, machine) in &machines {
+        let tables = self.tables;
+        for (id, machine) in &tables.machines {
             let Some(kind) = types.iter().position(|t| t.name == machine.kind) else { continue };
             let t = &types[kind];
             let zone = self.zone_number(&machine.zone);
@@ -248,7 +145,7 @@
             };
             if !usable(machine, now, lease) {
                 let waits = matches!(machine.standing(), Standing::Expected | Standing::Greeted);
-                let comes = machine.may_come(t.boot_ms, self.leader.since, now);
+                let comes = machine.may_come(t.boot_ms, self.tables.since, now);
                 if self.full && waits && comes && machine.tasks.is_empty() {
                     let up = (machine.rented_at as f64 + t.boot_ms).max(now as f64 + SOON_MS);
                     place.what = What::Boot;
@@ -271,19 +168,19 @@
                 self.places.push(place);
             }
         }
-        self.leader.machines = machines;
         if !self.full {
             return;
         }
+        let cap = self.view.steering.line_cap;
         for (index, slot, free) in slots {
-            let Some(head) = self.leader.jobs.get(&slot.1) else { continue };
+            let Some(head) = self.tables.jobs.get(&slot.1) else { continue };
             let mut size = Room::of(&head.spec);
             size.give(&free);
-            if !self.leader.lines.has_room(&slot) {
+            if !self.out.lines.has_room(&slot, cap) {
                 continue;
             }
             let Some((kind, mut end)) = self.head_end(&slot) else { continue };
-            let line: Vec<JobId> = self.leader.lines.behind(&slot).cloned().collect();
+            let line: Vec<JobId> = self.out.lines.behind(&slot).cloned().collect();
             for next in line {
                 end = self.end_after(end, &next, kind);
             }
@@ -291,7 +188,7 @@
                 Place { what: What::Line(slot), room: size, end, ..self.places[index].clone() };
             self.places.push(place);
         }
-        for (wish, asked) in self.leader.fleet.asked() {
+        for (wish, asked) in tables.rentals.asked() {
             let Some(kind) = types.iter().position(|t| t.name == wish.kind) else { continue };
             let up = (asked as f64 + types[kind].boot_ms).max(now as f64);
             let place = Place {
@@ -336,7 +233,7 @@
     /// Numbers the images that waiting jobs need, and those that services use most.
     pub fn number_images(&mut self) {
         let mut used: HashMap<&str, (u32, &Arc<Spec>)> = HashMap::new();
-        for job in self.leader.jobs.values() {
+        for job in self.tables.jobs.values() {
             if job.spec.kind == Kind::Service && !job.cancelled() {
                 used.entry(&job.spec.image).or_insert((0, &job.spec)).0 += job.spec.tasks;
             }
--- a/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -1,11 +1,11 @@
 //! Preemption: services take the room of array tasks of lower priority.
 
 use super::chooser::Chooser;
-use super::places::usable;
-use super::round::Round;
+use super::round::{Round, Step};
 use crate::constants::*;
 use crate::job::*;
 use crate::machine::Room;
+use crate::tables::usable;
 
 /// Tasks of several jobs.
 type Tasks = Vec<(JobId, u32)>;
@@ -20,22 +20,22 @@
     tasks: Vec<(u64, JobId, u32, Room, Priority)>,
 }
 
-impl Round<'_, '_> {
+impl Round<'_> {
     /// Makes room for services by stopping tasks of lower priority, where that starts replicas
     /// clearly sooner than any free room would. Those replicas then wait a moment for that room.
     pub fn preempt(&mut self, choosers: &mut [Chooser]) {
-        let now = self.ctx.now;
-        let soon = self.ctx.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
+        let now = self.view.now;
+        let soon = self.view.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
         for c in choosers.iter_mut().filter(|c| c.spec.kind == Kind::Service && c.left > 0) {
             c.search(true);
-            let since = self.leader.preempting.get(&c.id).copied();
+            let since = self.tables.preempting.get(&c.id).copied();
             let enough = self.soon_enough(c, soon);
             // Any place as good as the one being made will do.
             let goal = since.map_or(0.0, |(_, fetch)| fetch + soon).max(enough);
             let best = loop {
                 match self.best(c) {
                     Some((index, s)) if c.left > 0 && s.mean - now as f64 <= goal => {
-                        if !self.within_limit(c.team, &c.spec) || !self.take(c, index) {
+                        if !self.within_limit(c.team, &Room::of(&c.spec)) || !self.take(c, index) {
                             break f64::MAX;
                         }
                     }
@@ -51,23 +51,18 @@
                 continue;
             }
             let limit = best - enough - soon;
-            let mut made: f64 = -1.0;
+            let (mut made, mut stopped): (f64, Tasks) = (-1.0, Vec::new());
             while c.left > 0
                 && let Some((fetch, zone, victims)) = self.victims(c, limit)
             {
                 made = made.max(fetch);
                 c.left -= 1;
                 c.enter(zone);
-                for (id, task) in victims {
-                    let Some(job) = self.leader.jobs.get_mut(&id) else { continue };
-                    if let Some(attempt) = job.attempts.get_mut(&task) {
-                        tracing::debug!(job = %id, task, machine = %attempt.machine, by = %c.id, "task preempted");
-                        attempt.stop.get_or_insert((now, 0));
-                    }
-                }
+                stopped.extend(victims);
             }
             if made >= 0.0 {
-                self.leader.preempting.insert(c.id.clone(), (now, made));
+                let by = c.id.clone();
+                self.out.steps.push(Step::Preempt { by, fetch_ms: made, victims: stopped });
             }
         }
     }
@@ -75,7 +70,7 @@
     /// How soon a replica should run, ms, before others are stopped for it: as its class's aim
     /// asks, less what the start itself takes.
     fn soon_enough(&self, c: &Chooser, soon: f64) -> f64 {
-        let aims = self.ctx.settings.settings.objectives.iter();
+        let aims = self.view.settings.settings.objectives.iter();
         let own = aims.filter(|o| o.kind == "wait" && o.class.as_deref() == Some(&c.spec.class));
         let within = own.filter_map(|o| o.within_s).fold(f64::MAX, f64::min) * MS_PER_S;
         PREEMPT_GAIN_MS.min(within - soon - START_MS).max(0.0)
@@ -84,10 +79,10 @@
     /// Machines with tasks that could be stopped, found once in a pass. Those on which room is
     /// already being made are for another.
     fn candidates(&mut self) -> Vec<Candidate> {
-        let now = self.ctx.now;
-        let lease = self.ctx.settings.settings.workers.lease_s * MS_PER_S;
+        let now = self.view.now;
+        let lease = self.view.lease_ms();
         let mut found = Vec::new();
-        for machine in self.leader.machines.values().filter(|m| usable(m, now, lease)) {
+        for machine in self.tables.machines.values().filter(|m| usable(m, now, lease)) {
             let Some(kind) = self.types.iter().position(|t| t.name == machine.kind) else {
                 continue;
             };
@@ -95,7 +90,7 @@
             let mut tasks = Vec::new();
             let mut leaving = false;
             for (id, task) in machine.tasks.keys() {
-                let Some(job) = self.leader.jobs.get(id) else { continue };
+                let Some(job) = self.tables.jobs.get(id) else { continue };
                 let Some(attempt) = job.attempts.get(task).filter(|a| a.occupies()) else {
                     continue;
                 };
@@ -133,7 +128,7 @@
         for (index, m) in candidates.iter().enumerate() {
             let fetch = self.types[m.kind].fetch_ms(&c.spec);
             let there = || {
-                let machine = self.leader.machines.get(&m.machine);
+                let machine = self.tables.machines.get(&m.machine);
                 machine.is_some_and(|it| it.has_image(&c.spec.image))
             };
             if !c.may_use(m.kind, m.zone, m.spot, &self.zones)
--- a/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -7,26 +7,27 @@
 use crate::constants::*;
 use crate::machine::Room;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Which types, zones and kinds may be asked for now.
 #[derive(Debug, Default)]
-pub(super) struct Market {
-    open: HashMap<(usize, usize, bool), bool>,
+pub(super) struct Open {
+    known: HashMap<(usize, usize, bool), bool>,
 }
 
-impl Round<'_, '_> {
+impl Round<'_> {
     fn may_rent(&mut self, kind: usize, zone: usize, spot: bool) -> bool {
         let key = (kind, zone, spot);
-        if let Some(open) = self.market.open.get(&key) {
+        if let Some(open) = self.market.known.get(&key) {
             return *open;
         }
-        let open = self.leader.fleet.may_rent(
+        let open = self.tables.rentals.may_rent(
             &self.types[kind].name,
             &self.zones[zone],
             spot,
-            self.ctx.now,
+            self.view.now,
         );
-        self.market.open.insert(key, open);
+        self.market.known.insert(key, open);
         open
     }
 
@@ -36,9 +37,9 @@
             return known;
         }
         let t = &self.types[kind];
-        let (up, fetch) = (self.ctx.now as f64 + t.boot_ms, t.fetch_ms(&c.spec));
-        let end = self.run_guess(c, kind).clone().later(up + fetch);
-        let passes = c.due.is_none_or(|due| end.chance(due as f64) > THRESHOLD);
+        let (up, fetch) = (self.view.now as f64 + t.boot_ms, t.fetch_ms(&c.spec));
+        let end = Pmf::clone(&self.run_guess(c, kind)).later(up + fetch);
+        let passes = c.due.is_none_or(|due| end.chance(due as f64) > c.threshold);
         c.passes[kind] = Some(passes);
         passes
     }
@@ -47,7 +48,8 @@
     pub fn rental(&mut self, c: &mut Chooser, passing: bool) -> Option<(usize, usize, bool)> {
         let mut best: Option<(f64, (usize, usize, bool))> = None;
         let demand = self.demand.get(&c.spec.class).copied().unwrap_or(1).max(1);
-        let types = self.types.clone();
+        let types = self.types;
+        let spot_left = self.spot_left(c);
         for (kind, t) in types.iter().enumerate() {
             if !c.kinds[kind] {
                 continue;
@@ -59,7 +61,9 @@
             for zone in &t.zones {
                 let zone = self.zone_number(zone);
                 for spot in [true, false] {
-                    if !c.may_use(kind, zone, spot, &self.zones) || !self.may_rent(kind, zone, spot)
+                    if spot && !spot_left
+                        || !c.may_use(kind, zone, spot, &self.zones)
+                        || !self.may_rent(kind, zone, spot)
                     {
                         continue;
                     }
@@ -81,9 +85,9 @@
         *self.wishes.entry((kind, zone, spot)).or_default() += 1;
         // What a market is asked for beyond one request waits for its answer, or goes elsewhere.
         if self.wishes[&(kind, zone, spot)] >= RENT_MOST {
-            self.market.open.insert((kind, zone, spot), false);
+            self.market.known.insert((kind, zone, spot), false);
         }
-        let end = self.free_at(kind, self.ctx.now as f64 + self.types[kind].boot_ms);
+        let end = self.free_at(kind, self.view.now as f64 + self.types[kind].boot_ms);
         self.places.push(Place {
             what: What::Rental,
             machine: None,
@@ -100,14 +104,14 @@
 
     /// Plans machines for what finds no place.
     pub fn plan_rentals(&mut self, c: &mut Chooser, passing: bool) {
-        while c.left > 0 && self.within_limit(c.team, &c.spec) {
+        while c.left > 0 && self.within_limit(c.team, &Room::of(&c.spec)) {
             let Some((kind, zone, spot)) = self.rental(c, passing) else { break };
             let index = self.wish(kind, zone, spot);
             // Fill the new machine with this job's tasks; the others find it as a place.
             let before = c.left;
             while c.left > 0
                 && self.suits(c, &self.places[index])
-                && self.within_limit(c.team, &c.spec)
+                && self.within_limit(c.team, &Room::of(&c.spec))
             {
                 if !self.take(c, index) {
                     break;
@@ -120,8 +124,27 @@
     }
 
     /// The run time of a chooser's task on a type.
-    pub fn run_guess(&mut self, c: &Chooser, kind: usize) -> &Pmf {
-        let history = self.leader.history.of(&c.id, &c.spec.class, c.spec.estimate_s);
-        history.run_time(&self.types[kind].name)
+    pub fn run_guess(&self, c: &Chooser, kind: usize) -> Arc<Pmf> {
+        self.tables.history.run_time(&c.id, &c.spec, &self.types[kind].name)
+    }
+
+    /// Whether another spot machine keeps to the share that a chooser's job may have of them.
+    fn spot_left(&self, c: &Chooser) -> bool {
+        if c.spot_share >= 1.0 {
+            return true;
+        }
+        let (mut spot, mut all) = (0.0, 0.0);
+        let mut count = |on_spot: bool, cpus: f64| {
+            all += cpus;
+            spot += if on_spot { cpus } else { 0.0 };
+        };
+        for machine in self.tables.machines.values() {
+            let kind = self.types.iter().find(|t| t.name == machine.kind);
+            count(machine.spot, kind.map_or(0.0, |t| t.cpus));
+        }
+        for ((kind, _, on_spot), number) in &self.wishes {
+            count(*on_spot, self.types[*kind].cpus * f64::from(*number));
+        }
+        c.spot_share > 0.0 && spot <= c.spot_share * all
     }
 }
--- /dev/null
+++ b/crates/core/src/placement/round.rs
@@ -0,0 +1,279 @@
+//! One mapping event: prune lines, let tasks choose, fill machines.
+
+use super::chooser::Chooser;
+use super::ends::Ends;
+use super::places::{Names, Place};
+use super::preempt::Candidate;
+use super::rental::Open;
+use crate::Time;
+use crate::constants::*;
+use crate::job::*;
+use crate::machine::{MachineType, Room};
+use crate::settings::Settings;
+use crate::steering::Steering;
+use crate::tables::{Lines, Tables, Wish, within_limit};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// What a plan is made from beside the tables.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    /// Steady time.
+    pub now: Time,
+    /// The settings.
+    pub settings: &'a Settings,
+    /// The machine types.
+    pub types: &'a [MachineType],
+    /// What operators and plug-ins steer.
+    pub steering: &'a Steering,
+}
+
+impl View<'_> {
+    /// Lease of a worker, ms.
+    pub fn lease_ms(&self) -> f64 {
+        self.settings.settings.workers.lease_s * MS_PER_S
+    }
+}
+
+/// One step of a plan. The node checks each against the rules when it applies it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Bind a job's next waiting task.
+    Bind(JobId, MachineId),
+    /// Bind all that a gang lacks, under one launch number.
+    Gang(JobId, Vec<MachineId>),
+    /// Stop tasks of lower priority so that a service may start there.
+    Preempt {
+        /// The service.
+        by: JobId,
+        /// The fetch that it will need there, ms.
+        fetch_ms: f64,
+        /// What is stopped.
+        victims: Vec<(JobId, u32)>,
+    },
+}
+
+/// What a pass wants done, in order.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Bindings and stops.
+    pub steps: Vec<Step>,
+    /// The lines as they are afterwards.
+    pub lines: Lines,
+    /// Machines to rent. Only a full pass that came to its end says.
+    pub wishes: Option<Vec<Wish>>,
+    /// The pass has bound its share: the next goes on.
+    pub cut_short: bool,
+    /// Scores computed: what the pass cost, whatever the processor's speed.
+    pub scored: u64,
+}
+
+/// Whether a pass is due: on a change (false), or when a round's time has come (true).
+pub fn want_pass(tables: &Tables, round_ms: u64, now: Time) -> Option<bool> {
+    if now < tables.passed_at + PASS_MS {
+        return None;
+    }
+    if now >= tables.round_at + round_ms {
+        return Some(true);
+    }
+    tables.stir.then_some(false)
+}
+
+pub(super) struct Round<'a> {
+    pub tables: &'a Tables,
+    pub view: View<'a>,
+    pub types: &'a [MachineType],
+    /// What each team of the settings uses, everything not proved gone counted.
+    pub usage: Vec<Room>,
+    pub zones: Vec<String>,
+    pub images: Names,
+    pub service_images: Vec<(u32, Arc<Spec>)>,
+    pub ends: Ends,
+    pub places: Vec<Place>,
+    pub wishes: BTreeMap<(usize, usize, bool), u32>,
+    pub market: Open,
+    pub candidates: Option<Vec<Candidate>>,
+    pub demand: HashMap<String, u32>,
+    pub full: bool,
+    /// Tasks bound in this pass.
+    pub binds: usize,
+    pub out: Plan,
+}
+
+/// Plays a mapping event. A full one is the design's round; the other starts, between rounds, what
+/// finds free room. A pass that has bound its share goes on in the next. Rooms must be counted.
+pub fn plan(tables: &Tables, view: View, full: bool) -> Plan {
+    let mut round = Round {
+        tables,
+        view,
+        types: view.types,
+        usage: tables.usage(&view.settings.settings.teams),
+        zones: Vec::new(),
+        images: Names::default(),
+        service_images: Vec::new(),
+        ends: Ends::default(),
+        places: Vec::new(),
+        wishes: BTreeMap::new(),
+        market: Open::default(),
+        candidates: None,
+        demand: HashMap::new(),
+        full,
+        binds: 0,
+        out: Plan { lines: tables.lines.clone(), ..Plan::default() },
+    };
+    if full {
+        round.prune();
+    }
+    round.number_images();
+    round.open_places();
+    round.keep_for_services();
+    round.release_lined();
+    round.choose();
+    let Round { mut out, wishes, types, zones, binds, .. } = round;
+    out.cut_short = binds >= PASS_BINDS;
+    if full && !out.cut_short {
+        let wish = |((kind, zone, spot), number): ((usize, usize, bool), u32)| Wish {
+            kind: types[kind].name.clone(),
+            zone: zones[zone].clone(),
+            spot,
+            number,
+        };
+        out.wishes = Some(wishes.into_iter().map(wish).collect());
+    }
+    out
+}
+
+/// Priorities come first, then work within its team's guarantee; only then what plug-ins prefer.
+type Level = (Reverse<Priority>, bool, i64, Reverse<i64>);
+
+impl Round<'_> {
+    /// If misses reach the toggle while passing tasks wait, tasks in lines at or below the
+    /// threshold leave them.
+    fn prune(&mut self) {
+        if self.tables.misses < self.view.steering.toggle {
+            return;
+        }
+        let waits = self.tables.jobs.values().any(|j| open(j) && self.free_tasks(j) > 0);
+        if !waits {
+            return;
+        }
+        for slot in self.out.lines.slots() {
+            let Some((kind, mut end)) = self.head_end(&slot) else { continue };
+            let line: Vec<JobId> = self.out.lines.behind(&slot).cloned().collect();
+            let mut keep = Vec::with_capacity(line.len());
+            for id in &line {
+                let Some(job) = self.tables.jobs.get(id) else { continue };
+                let due = job.due;
+                let threshold = self.view.steering.of(id).threshold;
+                let run = self.tables.history.run_time(id, &job.spec, &self.types[kind].name);
+                let before = self.ends.get(end);
+                let stays = due.is_none_or(|d| before.convolve(&run).chance(d as f64) > threshold);
+                if stays {
+                    end = self.end_after(end, id, kind);
+                }
+                keep.push(stays);
+            }
+            let dropped = self.out.lines.keep(&slot, &keep);
+            if dropped > 0 {
+                tracing::debug!(machine = %slot.0, dropped, "tasks pruned from a line");
+            }
+        }
+    }
+
+    /// Room that has become free beats standing in a line: whoever stands in one and fits chooses
+    /// again.
+    fn release_lined(&mut self) {
+        for id in self.out.lines.jobs() {
+            let Some(c) = self.chooser(&id) else { continue };
+            let free =
+                self.places.iter().any(|p| p.what == super::places::What::Now && self.suits(&c, p));
+            if free {
+                self.out.lines.drop_job(&id);
+            }
+        }
+    }
+
+    /// Lets every job with waiting tasks choose, by priority, guarantee and chance.
+    fn choose(&mut self) {
+        let ids: Vec<JobId> = self
+            .tables
+            .jobs
+            .values()
+            .filter(|j| open(j) && self.free_tasks(j) > 0)
+            .map(|j| j.id.clone())
+            .collect();
+        let mut levels: BTreeMap<Level, Vec<Chooser>> = BTreeMap::new();
+        let mut overdue = Vec::new();
+        for id in ids {
+            let Some(c) = self.chooser(&id) else { continue };
+            *self.demand.entry(c.spec.class.clone()).or_default() += c.left;
+            if c.overdue {
+                overdue.push(c);
+            } else {
+                let within = c.team.is_some_and(|t| {
+                    let team = &self.view.settings.settings.teams[t];
+                    self.usage[t].cpus + c.spec.cpus <= team.cpus + SLACK
+                });
+                let steered = self.view.steering.of(&c.id);
+                let score = (steered.score * SCORE_STEPS) as i64;
+                let level = (Reverse(c.spec.priority), !within, steered.order, Reverse(score));
+                levels.entry(level).or_default().push(c);
+            }
+        }
+        let mut rest = Vec::new();
+        for (_, mut level) in levels {
+            level.truncate(PASS_JOBS);
+            let (gangs, mut others): (Vec<Chooser>, Vec<Chooser>) =
+                level.into_iter().partition(|c| c.spec.kind == Kind::Gang && c.spec.tasks > 1);
+            for mut gang in gangs {
+                self.place_gang(&mut gang);
+            }
+            self.preempt(&mut others);
+            self.map(&mut others, true);
+            rest.extend(others.into_iter().filter(|c| c.left > 0));
+        }
+        self.map(&mut rest, false);
+        overdue.truncate(PASS_JOBS);
+        let (gangs, mut overdue): (Vec<Chooser>, Vec<Chooser>) =
+            overdue.into_iter().partition(|c| c.spec.kind == Kind::Gang && c.spec.tasks > 1);
+        for mut gang in gangs {
+            self.place_gang(&mut gang);
+        }
+        self.map(&mut overdue, false);
+    }
+
+    /// Whether a team's limit leaves room for as much.
+    pub fn within_limit(&self, team: Option<usize>, more: &Room) -> bool {
+        let teams = &self.view.settings.settings.teams;
+        team.is_some_and(|n| within_limit(&teams[n], &self.usage[n], more))
+    }
+
+    /// Counts what a plan would use.
+    pub fn plan_use(&mut self, team: Option<usize>, each: &Room) {
+        if let Some(team) = team {
+            self.usage[team].give(each);
+        }
+    }
+
+    /// Plans to bind a task. False if the ledger has no room for it.
+    pub fn bind(&mut self, c: &Chooser, machine: MachineId) -> bool {
+        if self.binds >= self.tables.ledger.room() {
+            return false;
+        }
+        self.out.steps.push(Step::Bind(c.id.clone(), machine));
+        self.plan_use(c.team, &Room::of(&c.spec));
+        self.binds += 1;
+        true
+    }
+
+    /// Tasks of a job that wait and stand in no line.
+    pub fn free_tasks(&self, job: &Job) -> u32 {
+        (job.waiting.len() as u32).saturating_sub(self.out.lines.of(&job.id))
+    }
+}
+
+/// Whether a job has tasks that may be placed.
+fn open(job: &Job) -> bool {
+    job.state() == JobState::Live && !job.regroup
+}
--- a/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -1,9 +1,9 @@
 //! The state service's client as a pure machine: budget, order, retries, unknown outcomes.
 
+use crate::Time;
 use crate::constants::*;
-use crate::job::Time;
-use crate::wire::state::{Commit, News, Page, Pair};
 use std::collections::{HashMap, VecDeque};
+use swiftsail_wire::state::{Commit, News, Page, Pair};
 
 /// A call to the state service.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/crates/core/src/tables/mod.rs
@@ -0,0 +1,312 @@
+//! What the leader knows, and what changes it: jobs, machines, lines, rentals. Each kind of change
+//! is one function. Tables know nobody above them: placement and fleet read them, and the node alone
+//! applies what those plan.
+
+mod lines;
+mod rentals;
+mod reports;
+mod rooms;
+mod sheets;
+
+pub use lines::{Line, Lines, Slot};
+pub use rentals::{Market, Rentals, Wish};
+pub use reports::Source;
+pub use rooms::{Guard, Refusal, usable, within_limit};
+pub use sheets::{Ledger, Passage, Sheet, SheetRecord, entry_bytes};
+
+use crate::Time;
+use crate::chance::Histories;
+use crate::constants::*;
+use crate::job::*;
+use crate::machine::Machine;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use swiftsail_wire::cloud::{ListedState, Listing};
+use swiftsail_wire::state::{Item, Page};
+use swiftsail_wire::workers::Cause;
+
+/// Everything the leader holds under one term.
+pub struct Tables {
+    /// Its token.
+    pub token: u64,
+    /// Era of the term, to know stale answers.
+    pub era: u64,
+    /// When it began to lead.
+    pub since: Time,
+    /// Jobs that are not over.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Machines known.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Run times per job.
+    pub history: Histories,
+    /// Lines of waiting work.
+    pub lines: Lines,
+    /// Rentals and returns.
+    pub rentals: Rentals,
+    /// Misses since the last round.
+    pub misses: u32,
+    /// When the last pass was.
+    pub passed_at: Time,
+    /// When the last round was.
+    pub round_at: Time,
+    /// Services for which room is being made: since when, and the fetch they will need there, ms.
+    pub preempting: HashMap<JobId, (Time, f64)>,
+    /// Something changed that a pass may use.
+    pub stir: bool,
+    launches: u64,
+    /// Number of the latest write of bindings.
+    pub nonce: u64,
+    /// Where new bindings are committed.
+    pub ledger: Ledger,
+    /// Keys of bindings whose job is over, to be removed.
+    pub left_over: Vec<String>,
+    /// Jobs of which something has ended: they may be over.
+    ended: BTreeSet<JobId>,
+    /// Revision up to which changes of jobs are known.
+    pub follow_from: u64,
+}
+
+/// The job and task in a wire name.
+pub fn split_task(name: &str) -> Option<(JobId, u32)> {
+    let (job, task) = name.rsplit_once('/')?;
+    Some((JobId::from(job), task.parse().ok()?))
+}
+
+impl Tables {
+    /// An empty table under a token.
+    pub fn new(token: u64, era: u64, now: Time) -> Tables {
+        Tables {
+            token,
+            era,
+            since: now,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            history: Histories::default(),
+            lines: Lines::default(),
+            rentals: Rentals::default(),
+            misses: 0,
+            passed_at: 0,
+            round_at: now,
+            preempting: HashMap::new(),
+            stir: true,
+            launches: 0,
+            nonce: 0,
+            ledger: Ledger::default(),
+            left_over: Vec::new(),
+            ended: BTreeSet::new(),
+            follow_from: 0,
+        }
+    }
+
+    /// A launch number that no term has used or will use.
+    pub fn next_launch(&mut self) -> u64 {
+        self.launches += 1;
+        self.last_launch()
+    }
+
+    /// The latest launch number given out, and the least that none of an earlier term reaches.
+    pub fn last_launch(&self) -> u64 {
+        (self.token << LAUNCH_BITS) + self.launches
+    }
+
+    // ---- loading -------------------------------------------------------------------------------
+
+    /// Takes over a page of jobs.
+    pub fn load_jobs(&mut self, page: &Page, now: Time, wall: u64) {
+        if self.follow_from == 0 {
+            self.follow_from = page.epoch;
+        }
+        for pair in &page.pairs {
+            self.upsert(&pair.key, &pair.value, pair.stamp, now, wall);
+        }
+    }
+
+    /// After loading: machines that bindings name are expected.
+    pub fn index(&mut self, now: Time) {
+        for (id, job) in &self.jobs {
+            for (task, attempt) in &job.attempts {
+                let machine = self
+                    .machines
+                    .entry(attempt.machine.clone())
+                    .or_insert_with(|| Machine::new(attempt.machine.clone(), now));
+                machine.hold(id, *task, attempt.launch);
+            }
+        }
+    }
+
+    /// Takes over a job's record.
+    pub fn upsert(
+        &mut self,
+        key: &str,
+        value: &serde_json::Value,
+        stamp: u64,
+        now: Time,
+        wall: u64,
+    ) {
+        let Some(id) = key.strip_prefix(keys::JOBS) else { return };
+        let Ok(record) = serde_json::from_value::<JobRecord>(value.clone()) else {
+            tracing::error!(key, "a job's record cannot be read");
+            return;
+        };
+        let id = JobId::from(id);
+        let job = self.jobs.entry(id.clone()).or_insert_with(|| {
+            tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
+            Job::new(id.clone(), &record, stamp, now, wall)
+        });
+        if stamp >= job.stamp {
+            job.stamp = stamp;
+            if record.cancelled && !job.cancelled() {
+                let passed = wall.saturating_sub(record.cancelled_wall);
+                job.advance(JobState::Cancelling, now.saturating_sub(passed));
+            }
+            self.stir = true;
+        }
+    }
+
+    /// A change of a job seen by the watch.
+    pub fn on_news(&mut self, item: &Item, now: Time, wall: u64) {
+        if let Some(key) = &item.write {
+            self.upsert(key, &item.value, item.stamp, now, wall);
+        }
+    }
+
+    /// Rentals were refused: others are planned at once, not with the next round.
+    pub fn plan_again(&mut self) {
+        self.round_at = 0;
+    }
+
+    /// The task of an attempt proved gone waits again.
+    pub fn release(&mut self, id: &JobId, task: u32, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if let Some(attempt) = job.release(task, now)
+            && let Some(machine) = self.machines.get_mut(&attempt.machine)
+        {
+            machine.let_go(id, task, now);
+        }
+        self.stir = true;
+    }
+
+    /// A gang that lost a task is stopped whole, and starts anew when none of it is left.
+    pub(crate) fn after_loss(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.spec.kind == Kind::Gang {
+            job.regroup = job.attempts.values().any(Attempt::occupies);
+        }
+    }
+
+    /// A machine is gone, proved by a 200 to its return: all on it is gone.
+    pub fn machine_gone(&mut self, id: &MachineId, now: Time) {
+        let Some(machine) = self.machines.get(id) else { return };
+        let tasks: Vec<(JobId, u32)> = machine.tasks.keys().cloned().collect();
+        for (job, task) in tasks {
+            let done = self.jobs.get(&job).and_then(|j| j.attempts.get(&task));
+            if done.is_some_and(|a| a.stage() == Stage::Exited(Cause::Done)) {
+                continue;
+            }
+            self.release(&job, task, now);
+            self.after_loss(&job);
+        }
+        self.lines.drop_machine(id);
+        self.machines.remove(id);
+        self.stir = true;
+        tracing::debug!(machine = %id, "machine gone");
+    }
+
+    /// Takes over a page of the machine list. Names the machines that have failed.
+    pub fn on_listing(&mut self, page: &Listing, now: Time) -> Vec<MachineId> {
+        let mut failed = Vec::new();
+        for listed in &page.berths {
+            let id = MachineId::from(listed.name_id.as_str());
+            if self.rentals.was_returned(&id) {
+                continue;
+            }
+            self.machine(&id, now).describe(listed, now);
+            if listed.status == ListedState::Failed {
+                failed.push(id);
+            }
+        }
+        failed
+    }
+
+    /// A machine, known from now on.
+    pub fn machine(&mut self, id: &MachineId, now: Time) -> &mut Machine {
+        self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id.clone(), now))
+    }
+
+    /// Begins a pass: pauses that are over end, jobs past their deadline are missed and leave their
+    /// lines (thesis, algorithm 2, 1-3).
+    pub fn begin_pass(&mut self, now: Time) {
+        self.passed_at = now;
+        self.stir = false;
+        let mut over = Vec::new();
+        for (id, job) in &mut self.jobs {
+            job.unhold(now);
+            if job.due.is_some_and(|due| due < now) && !job.missed && job.state() == JobState::Live
+            {
+                job.missed = true;
+                let open =
+                    job.waiting.len() + job.attempts.values().filter(|a| a.occupies()).count();
+                self.misses += open as u32;
+                over.push(id.clone());
+            }
+        }
+        for id in over {
+            self.lines.drop_job(&id);
+        }
+    }
+
+    /// Binds a job's first waiting task to a machine under a launch number: in the tables now, in
+    /// the store with the ledger's next write, and offered only after that.
+    pub fn bind(
+        &mut self,
+        id: &JobId,
+        machine_id: &MachineId,
+        launch: u64,
+        value_bytes: usize,
+        now: Time,
+    ) -> Option<u32> {
+        let machine = self.machines.get_mut(machine_id)?;
+        let job = self.jobs.get_mut(id)?;
+        let task = job.waiting.pop_first()?;
+        job.attempts.insert(task, Attempt::new(launch, machine_id.clone(), machine.latest.0, now));
+        job.touch(task, now);
+        self.ledger.add(id, task, launch, value_bytes);
+        machine.hold(id, task, launch);
+        Some(task)
+    }
+
+    /// Wants an attempt stopped; a gang then leaves whole. Proof of its end is still awaited.
+    pub fn want_stop(&mut self, id: &JobId, task: u32, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let gang = job.spec.kind == Kind::Gang;
+        if let Some(attempt) = job.attempts.get_mut(&task).filter(|a| a.occupies()) {
+            attempt.stop.get_or_insert((now, 0));
+            job.regroup |= gang;
+        }
+    }
+
+    /// Jobs of which something has ended since the last call.
+    pub fn take_ended(&mut self) -> BTreeSet<JobId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Takes a job that is over off the tables.
+    pub fn close(&mut self, id: &JobId, now: Time) -> Option<Job> {
+        let job = self.jobs.remove(id)?;
+        for (task, attempt) in &job.attempts {
+            if let Some(machine) = self.machines.get_mut(&attempt.machine) {
+                machine.let_go(id, *task, now);
+            }
+        }
+        self.lines.drop_job(id);
+        self.history.forget(id);
+        self.preempting.remove(id);
+        Some(job)
+    }
+
+    /// Counts for display, for the other controllers: (job, done, running).
+    pub fn counts(&self) -> Vec<(String, u32, u32)> {
+        let counts = self.jobs.iter().map(|(id, j)| (id.to_string(), j.counts()));
+        let held = counts.filter(|(_, c)| c.0 + c.1 > 0).map(|(id, (d, r))| (id, d, r));
+        held.take(COUNTS_MOST).collect()
+    }
+}
--- a/src/cluster/leader.rs
+++ b/crates/core/src/tables/reports.rs
@@ -1,17 +1,12 @@
-//! The leader's tables and what changes them: jobs, machines, reports, commands.
+//! What a report changes, and what its worker is told: proofs that a task is gone, exits, commands.
 
-use super::Ctx;
-use super::ledger::Ledger;
-use crate::chance::Histories;
+use super::{Tables, split_task};
+use crate::Time;
 use crate::constants::*;
-use crate::fleet::Fleet;
 use crate::job::*;
-use crate::machine::{Machine, Room, Standing};
-use crate::placement::Lines;
-use crate::wire::cloud::Listing;
-use crate::wire::state::{Item, Page};
-use crate::wire::workers::{Cause, Command, Direct, Orders, Phase, Report, Shard, Verb};
+use crate::machine::{Machine, MachineType, Room, Standing};
 use std::collections::{BTreeMap, HashMap};
+use swiftsail_wire::workers::{Cause, Command, Direct, Orders, Phase, Report, Shard, Verb};
 
 /// Where a report came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,53 +17,6 @@
     Answer,
 }
 
-/// Everything the leader holds under one term.
-pub struct Leader {
-    /// Its token.
-    pub token: u64,
-    /// Era of the term, to know stale answers.
-    pub era: u64,
-    /// When it began to lead.
-    pub since: Time,
-    /// Jobs that are not over.
-    pub jobs: BTreeMap<JobId, Job>,
-    /// Machines known.
-    pub machines: BTreeMap<MachineId, Machine>,
-    /// Run times per job.
-    pub history: Histories,
-    /// Lines of waiting work.
-    pub lines: Lines,
-    /// Rentals and returns.
-    pub fleet: Fleet,
-    /// Misses since the last round.
-    pub misses: u32,
-    /// When the last pass and the last round were.
-    pub passed_at: Time,
-    /// See `passed_at`.
-    pub round_at: Time,
-    /// Services for which room is being made: since when, and the fetch they will need there, ms.
-    pub preempting: HashMap<JobId, (Time, f64)>,
-    /// Scores computed so far: what passes cost, whatever the machine's speed.
-    pub scored: u64,
-    /// When the status was last told.
-    status_at: Time,
-    /// Something changed that a pass may use.
-    pub stir: bool,
-    launches: u64,
-    /// Number of the latest write of bindings.
-    pub nonce: u64,
-    /// Where new bindings are committed.
-    pub ledger: Ledger,
-    /// Revision up to which changes of jobs are known.
-    pub follow_from: u64,
-}
-
-/// The job and task in a wire name.
-pub fn split_task(name: &str) -> Option<(JobId, u32)> {
-    let (job, task) = name.rsplit_once('/')?;
-    Some((JobId::from(job), task.parse().ok()?))
-}
-
 fn join_task(job: &JobId, task: u32) -> String {
     format!("{job}/{task}")
 }
@@ -83,109 +31,17 @@
     }
 }
 
-impl Leader {
-    /// An empty table under a token.
-    pub fn new(token: u64, era: u64, now: Time) -> Leader {
-        Leader {
-            token,
-            era,
-            since: now,
-            jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
-            history: Histories::default(),
-            lines: Lines::default(),
-            fleet: Fleet::default(),
-            misses: 0,
-            passed_at: 0,
-            round_at: now,
-            preempting: HashMap::new(),
-            scored: 0,
-            status_at: now,
-            stir: true,
-            launches: 0,
-            nonce: 0,
-            ledger: Ledger::default(),
-            follow_from: 0,
-        }
-    }
-
-    /// A launch number that no term has used or will use.
-    pub fn next_launch(&mut self) -> u64 {
-        self.launches += 1;
-        self.last_launch()
-    }
-
-    /// The latest launch number given out, and the least that none of an earlier term reaches.
-    pub fn last_launch(&self) -> u64 {
-        (self.token << LAUNCH_BITS) + self.launches
-    }
-
-    // ---- loading -------------------------------------------------------------------------------
-
-    /// Takes over a page of jobs.
-    pub fn load_jobs(&mut self, page: &Page, now: Time, wall: u64) {
-        if self.follow_from == 0 {
-            self.follow_from = page.epoch;
-        }
-        for pair in &page.pairs {
-            self.upsert(&pair.key, &pair.value, pair.stamp, now, wall);
-        }
-    }
-
-    /// After loading: machines that bindings name are expected.
-    pub fn index(&mut self, now: Time) {
-        for (id, job) in &self.jobs {
-            for (task, attempt) in &job.attempts {
-                let machine = self
-                    .machines
-                    .entry(attempt.machine.clone())
-                    .or_insert_with(|| Machine::new(attempt.machine.clone(), now));
-                machine.hold(id, *task, attempt.launch);
-            }
-        }
-    }
-
-    /// Takes over a job's record.
-    pub fn upsert(
-        &mut self,
-        key: &str,
-        value: &serde_json::Value,
-        stamp: u64,
-        now: Time,
-        wall: u64,
-    ) {
-        let Some(id) = key.strip_prefix(keys::JOBS) else { return };
-        let Ok(record) = serde_json::from_value::<JobRecord>(value.clone()) else {
-            tracing::error!(key, "a job's record cannot be read");
-            return;
-        };
-        let id = JobId::from(id);
-        let job = self.jobs.entry(id.clone()).or_insert_with(|| {
-            tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
-            Job::new(id.clone(), &record, stamp, now, wall)
-        });
-        if stamp >= job.stamp {
-            job.stamp = stamp;
-            if record.cancelled && !job.cancelled() {
-                let passed = wall.saturating_sub(record.cancelled_wall);
-                job.advance(JobState::Cancelling, now.saturating_sub(passed));
-            }
-            self.stir = true;
-        }
-    }
-
-    /// A change of a job seen by the watch.
-    pub fn on_news(&mut self, item: &Item, now: Time, wall: u64) {
-        if let Some(key) = &item.write {
-            self.upsert(key, &item.value, item.stamp, now, wall);
-        }
-    }
-
+impl Tables {
     // ---- reports -------------------------------------------------------------------------------
 
     /// Takes a worker's message and says what it is to do. Older messages change nothing.
-    pub fn on_report(&mut self, report: &Report, source: Source, ctx: &mut Ctx) -> Orders {
-        let now = ctx.now;
+    pub fn on_report(
+        &mut self,
+        report: &Report,
+        source: Source,
+        now: Time,
+        types: &[MachineType],
+    ) -> Orders {
         let id = MachineId::from(report.berth.as_str());
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(machine = %id, "machine unknown so far reports");
@@ -214,7 +70,7 @@
             machine.advance(Standing::Greeted);
         }
         if first {
-            self.fleet.arrived(&id);
+            tracing::debug!(machine = %id, "machine up");
         }
         let mut listed: HashMap<(JobId, u32, u64), &Shard> = HashMap::new();
         for shard in &report.shards {
@@ -222,8 +78,8 @@
                 listed.insert((job, task, shard.launch), shard);
             }
         }
-        self.reconcile(&id, report, source, &listed, ctx);
-        self.take_strays(&id, report, &listed, ctx);
+        self.reconcile(&id, report, source, &listed, now, types);
+        self.take_strays(&id, report, &listed, now);
         self.give_orders(&id, report, source, &listed, &mut orders.orders);
         orders
     }
@@ -235,7 +91,8 @@
         report: &Report,
         source: Source,
         listed: &HashMap<(JobId, u32, u64), &Shard>,
-        ctx: &mut Ctx,
+        now: Time,
+        types: &[MachineType],
     ) {
         let Some(machine) = self.machines.get(id) else { return };
         let bound: Vec<((JobId, u32), u64)> =
@@ -251,25 +108,26 @@
                 attempt.seen = true;
                 let stage = stage_of(shard);
                 let image = (job.spec.image.clone(), job.spec.image_gb);
-                if attempt.advance(stage, ctx.now) {
+                if attempt.advance(stage, now) {
                     if matches!(stage, Stage::Exited(_))
                         && let Some(m) = self.machines.get_mut(id)
                     {
                         m.recount();
                     }
                     if stage == Stage::Running {
-                        let waited_ms = ctx.now.saturating_sub(job.known_at);
-                        let bound_ms = ctx.now.saturating_sub(attempt.since);
+                        let waited_ms = now.saturating_sub(job.known_at);
+                        let bound_ms = now.saturating_sub(attempt.since);
                         tracing::debug!(job = %job_id, task, machine = %id, class = %job.spec.class, waited_ms, bound_ms, "task runs");
                     }
                     if matches!(stage, Stage::Running | Stage::Waiting)
                         && let Some(m) = self.machines.get_mut(id)
                     {
-                        let cache = ctx.type_of(&m.kind).map_or(0.0, |t| t.cache_gb);
+                        let cache =
+                            types.iter().find(|t| t.name == m.kind).map_or(0.0, |t| t.cache_gb);
                         m.note_image(&image.0, image.1, cache);
                     }
                     if let Stage::Exited(cause) = stage {
-                        self.on_exit(&job_id, task, cause, ctx);
+                        self.on_exit(&job_id, task, cause, now);
                     }
                 }
                 continue;
@@ -298,8 +156,8 @@
             };
             if gone {
                 tracing::debug!(job = %job_id, task, launch, machine = %id, "attempt proved gone");
-                self.release(&job_id, task, ctx.now);
-                self.after_loss(&job_id, ctx.now);
+                self.release(&job_id, task, now);
+                self.after_loss(&job_id);
             }
         }
     }
@@ -311,7 +169,7 @@
         id: &MachineId,
         report: &Report,
         listed: &HashMap<(JobId, u32, u64), &Shard>,
-        ctx: &mut Ctx,
+        now: Time,
     ) {
         let Some(machine) = self.machines.get_mut(id) else { return };
         if !machine.strays.is_empty() {
@@ -336,12 +194,12 @@
                     machine: id.clone(),
                     watch: report.watch,
                 };
-                let mut attempt = Attempt::found(&bound, ctx.now);
+                let mut attempt = Attempt::found(&bound, now);
                 attempt.seen = true;
                 attempt.given_up = true;
-                attempt.advance(stage_of(shard), ctx.now);
+                attempt.advance(stage_of(shard), now);
                 job.attempts.insert(*task, attempt);
-                job.touch(*task, ctx.now);
+                job.touch(*task, now);
                 machine.hold(job_id, *task, *launch);
                 continue;
             }
@@ -404,8 +262,7 @@
     }
 
     /// An attempt has exited.
-    fn on_exit(&mut self, id: &JobId, task: u32, cause: Cause, ctx: &mut Ctx) {
-        let now = ctx.now;
+    fn on_exit(&mut self, id: &JobId, task: u32, cause: Cause, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(attempt) = job.attempts.get(&task) else { return };
         let machine_id = attempt.machine.clone();
@@ -419,11 +276,10 @@
             if let Some(machine) = self.machines.get_mut(&machine_id) {
                 machine.errors.clear();
                 if let Some(ran) = ran {
-                    let spec = &job.spec;
-                    self.history.finished(id, &spec.class, spec.estimate_s, &machine.kind, ran);
+                    self.history.finished(id, &job.spec, &machine.kind, ran);
                 }
             }
-            self.end_if_over(id, ctx);
+            self.ended.insert(id.clone());
             return;
         }
         tracing::debug!(job = %id, task, machine = %machine_id, ?cause, "attempt exited");
@@ -448,56 +304,14 @@
         if failed && let Some(job) = self.jobs.get_mut(id) {
             job.hold(task, now);
         }
-        self.after_loss(id, now);
-    }
-
-    /// Rentals were refused: others are planned at once, not with the next round.
-    pub fn plan_again(&mut self) {
-        self.round_at = 0;
-    }
-
-    /// The task of an attempt proved gone waits again.
-    pub fn release(&mut self, id: &JobId, task: u32, now: Time) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if let Some(attempt) = job.release(task, now)
-            && let Some(machine) = self.machines.get_mut(&attempt.machine)
-        {
-            machine.let_go(id, task, now);
-        }
-        self.stir = true;
-    }
-
-    /// A gang that lost a task is stopped whole, and starts anew when none of it is left.
-    fn after_loss(&mut self, id: &JobId, _now: Time) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.spec.kind == Kind::Gang {
-            job.regroup = job.attempts.values().any(Attempt::occupies);
-        }
-    }
-
-    /// A machine is gone, proved by a 200 to its return: all on it is gone.
-    pub fn machine_gone(&mut self, id: &MachineId, now: Time) {
-        let Some(machine) = self.machines.get(id) else { return };
-        let tasks: Vec<(JobId, u32)> = machine.tasks.keys().cloned().collect();
-        for (job, task) in tasks {
-            let done = self.jobs.get(&job).and_then(|j| j.attempts.get(&task));
-            if done.is_some_and(|a| a.stage() == Stage::Exited(Cause::Done)) {
-                continue;
-            }
-            self.release(&job, task, now);
-            self.after_loss(&job, now);
-        }
-        self.lines.drop_machine(id, &mut self.jobs);
-        self.machines.remove(id);
-        self.stir = true;
-        tracing::debug!(machine = %id, "machine gone");
+        self.after_loss(id);
     }
 
     // ---- commands ------------------------------------------------------------------------------
 
-    /// Stops what must stop, straight to the workers. Called with every timer step.
-    pub fn stops(&mut self, ctx: &mut Ctx) {
-        let now = ctx.now;
+    /// Stops what must stop: the commands to send straight to workers, with their addresses. Called
+    /// with every timer step.
+    pub fn stops(&mut self, now: Time) -> Vec<(String, Direct)> {
         let mut orders: BTreeMap<MachineId, Vec<Command>> = BTreeMap::new();
         let mut unstarted = Vec::new();
         for (id, job) in &mut self.jobs {
@@ -540,101 +354,18 @@
         }
         for (job, task) in unstarted {
             self.release(&job, task, now);
-            self.after_loss(&job, now);
+            self.after_loss(&job);
         }
+        let mut direct = Vec::new();
         for (id, orders) in orders {
             let Some(machine) = self.machines.get(&id) else { continue };
             if machine.addr.is_empty() || machine.latest.0 == 0 {
                 continue;
             }
             let message = Direct { helm: self.token, watch: machine.latest.0, orders };
-            ctx.direct.push((machine.addr.clone(), message));
+            direct.push((machine.addr.clone(), message));
         }
-    }
-
-    /// Takes over a page of the machine list.
-    pub fn on_listing(&mut self, page: &Listing, now: Time) {
-        for listed in &page.berths {
-            let id = MachineId::from(listed.name_id.as_str());
-            if self.fleet.was_returned(&id) {
-                continue;
-            }
-            let machine =
-                self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id.clone(), now));
-            machine.describe(listed, now);
-            if listed.status == crate::wire::cloud::ListedState::Failed {
-                self.fleet.want_return(machine, "it failed");
-            }
-        }
-    }
-
-    /// Tells the log now and then how much waits, runs and is free.
-    pub fn status(&mut self, ctx: &Ctx) {
-        if ctx.now < self.status_at + STATUS_MS {
-            return;
-        }
-        self.status_at = ctx.now;
-        let (mut waiting, mut lined, mut held, mut binding, mut bound) = (0, 0, 0, 0, 0);
-        let (mut fetching, mut running, mut exited) = (0, 0, 0);
-        for job in self.jobs.values() {
-            waiting += job.waiting.len();
-            lined += job.lined;
-            held += job.held.len();
-            for attempt in job.attempts.values() {
-                match attempt.stage() {
-                    Stage::Committing => binding += 1,
-                    Stage::Bound => bound += 1,
-                    Stage::Fetching | Stage::Waiting => fetching += 1,
-                    Stage::Running | Stage::Saving => running += 1,
-                    Stage::Exited(_) => exited += 1,
-                }
-            }
-        }
-        // By type: machines, and CPUs free on them.
-        let mut kinds: BTreeMap<(&str, bool), (u32, f64)> = BTreeMap::new();
-        for machine in self.machines.values() {
-            let kind = kinds.entry((&machine.kind, machine.spot)).or_default();
-            kind.0 += 1;
-            kind.1 += machine.free().map_or(0.0, |r| r.cpus);
-        }
-        let kinds: Vec<String> = kinds
-            .iter()
-            .map(|((kind, spot), (n, free))| {
-                format!("{n} {kind}{} {free:.0} free", if *spot { " spot" } else { "" })
-            })
-            .collect();
-        let ready = self.machines.values().filter(|m| m.standing() == Standing::Ready);
-        let free: f64 = ready.clone().filter_map(|m| m.free()).map(|r| r.cpus).sum();
-        let ready = ready.count();
-        let late = self.jobs.values().filter(|j| j.missed).count();
-        let machines = self.machines.len();
-        let queued = ctx.store.queued();
-        tracing::info!(
-            jobs = self.jobs.len(),
-            late,
-            waiting,
-            lined,
-            held,
-            binding,
-            bound,
-            fetching,
-            running,
-            exited,
-            ledger = self.ledger.len(),
-            machines,
-            ready,
-            free_cpus = free,
-            ?queued,
-            cloud_queued = ctx.cloud.queued(),
-            kinds = kinds.join(", "),
-            "status"
-        );
-    }
-
-    /// Counts for display, for the other controllers.
-    pub fn counts(&self) -> Vec<(String, u32, u32)> {
-        let counts = self.jobs.iter().map(|(id, j)| (id.to_string(), j.counts()));
-        counts.filter(|(_, c)| c.0 + c.1 > 0).map(|(id, (d, r))| (id, d, r)).take(1000).collect()
+        direct
     }
 }
 
--- a/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -1,7 +1,7 @@
 //! Leadership: one key attached to a lease; its stamp is the token.
 
+use crate::Time;
 use crate::constants::*;
-use crate::job::Time;
 use serde::{Deserialize, Serialize};
 
 /// Value of the leader's key.
--- a/tests/standin/mod.rs
+++ b/crates/standin/src/lib.rs
@@ -13,12 +13,14 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
-use swiftsail::cluster::{Action, Ask, Event, Node, Now, Reply};
-use swiftsail::settings::Settings;
-use swiftsail::store::{Call, Outcome};
-use swiftsail::wire::controllers::Beat;
-use swiftsail::wire::workers::{Direct, Orders, Report};
-use swiftsail::{cloud, wire};
+use swiftsail_core::cloud;
+use swiftsail_core::job::{Kind, Priority, Spec};
+use swiftsail_core::node::{Action, Ask, Event, Node, Now, Reply};
+use swiftsail_core::settings::Settings;
+use swiftsail_core::store::{Call, Outcome};
+use swiftsail_wire as wire;
+use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::workers::{Direct, Orders, Report};
 
 /// Where the steady clock of the stand-in begins.
 pub const BEGIN: u64 = 1_000_000_000;
@@ -54,6 +56,31 @@
     Arc::new(Settings::parse("stand-in", &text).expect("the stand-in's settings are sound"))
 }
 
+/// What a job of a kind asks for: the class is named after the kind.
+pub fn spec(kind: Kind, tasks: u32, cpus: f64, image: &str) -> Spec {
+    Spec {
+        class: format!("{kind:?}"),
+        team: "blue".into(),
+        kind,
+        priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 0.5,
+        image: image.into(),
+        image_gb: 0.1,
+        types: None,
+        zone: None,
+        one_zone: kind == Kind::Gang,
+        spread: false,
+        spot: kind != Kind::Service,
+        estimate_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: (kind == Kind::Array).then_some(600.0),
+    }
+}
+
 /// A job as its user sees it.
 pub struct UserJob {
     pub id: String,
--- a/tests/standin/outside.rs
+++ b/crates/standin/src/outside.rs
@@ -4,11 +4,11 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::collections::{BTreeMap, BTreeSet};
-use swiftsail::cloud;
-use swiftsail::store::{Call, Outcome};
-use swiftsail::wire::cloud::{Berths, Hull, Listed, ListedState, Listing, Types};
-use swiftsail::wire::state::{Change, Item, News, Page, Pair};
-use swiftsail::wire::workers::{Cause, Command, Direct, Orders, Phase, Report, Shard, Verb};
+use swiftsail_core::cloud;
+use swiftsail_core::store::{Call, Outcome};
+use swiftsail_wire::cloud::{Berths, Hull, Listed, ListedState, Listing, Types};
+use swiftsail_wire::state::{Change, Item, News, Page, Pair};
+use swiftsail_wire::workers::{Cause, Command, Direct, Orders, Phase, Report, Shard, Verb};
 
 // ---- state service -----------------------------------------------------------------------------
 
--- a/src/wire/mod.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,11 @@
-//! The exact messages of every interface. Words of the wire appear only below this module; the
+//! The exact messages of every interface. Words of the wire appear only in this package; the
 //! rest of the service uses its own types.
 
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
 pub mod cloud;
+pub mod constants;
 pub mod controllers;
 pub mod state;
 pub mod users;
--- a/src/wire/users.rs
+++ b/crates/wire/src/users.rs
@@ -2,9 +2,9 @@
 
 use super::WireError;
 use crate::constants::*;
-use crate::job::{JobId, Kind, Priority, Spec};
 use rmpv::Value;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Paths of this interface.
 pub mod path {
@@ -18,6 +18,82 @@
     pub const HEALTH: &str = "/up";
 }
 
+/// Shape of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Independent tasks that each run to completion.
+    Array,
+    /// Tasks that run at the same time or not at all.
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    Service,
+}
+
+/// Priority, least first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// Low.
+    Low,
+    /// Normal.
+    Normal,
+    /// High.
+    High,
+    /// Production.
+    Production,
+}
+
+/// What a job asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Class of jobs.
+    pub class: String,
+    /// Team.
+    pub team: String,
+    /// Shape.
+    pub kind: Kind,
+    /// Priority.
+    pub priority: Priority,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// CPUs of a task.
+    pub cpus: f64,
+    /// Accelerators of a task.
+    pub gpus: f64,
+    /// Memory of a task, GB.
+    pub memory_gb: f64,
+    /// Image.
+    pub image: String,
+    /// Its size, GB.
+    pub image_gb: f64,
+    /// Allowed machine types.
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub spread: bool,
+    /// May run on spot machines.
+    pub spot: bool,
+    /// Owner's estimate of a task's run time, s.
+    pub estimate_s: f64,
+    /// Interval of checkpoints, s; 0: none.
+    pub checkpoint_s: f64,
+    /// Time to save, s.
+    pub save_s: f64,
+    /// Deadline from submission, s.
+    pub deadline_s: Option<f64>,
+}
+
+impl Spec {
+    /// Most tasks in one zone at a time.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
+    }
+}
+
 /// A job's state as users see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum Status {
@@ -61,7 +137,7 @@
 #[derive(Debug)]
 pub struct Submission {
     /// The job's id.
-    pub id: JobId,
+    pub id: Arc<str>,
     /// What it asks for, or what is wrong.
     pub spec: Result<Spec, WireError>,
 }
@@ -130,7 +206,7 @@
         return Err(WireError::TooLarge(body.len()));
     }
     let mut rest = body;
-    let value = rmpv::decode::read_value_with_max_depth(&mut rest, 16)
+    let value = rmpv::decode::read_value_with_max_depth(&mut rest, DEPTH_MOST)
         .map_err(|e| WireError::Form(e.to_string()))?;
     let Value::Map(fields) = value else {
         return Err(WireError::Form("it is not a map".into()));
@@ -140,7 +216,7 @@
     if !valid_id(&id) {
         return Err(WireError::Field("name_id", "has not the form of a job id"));
     }
-    let id = JobId::from(id.as_str());
+    let id = Arc::from(id.as_str());
     let spec = if rest.is_empty() {
         read_spec(&fields)
     } else {
--- a/src/cluster/actor.rs
+++ b/src/controller.rs
@@ -1,21 +1,21 @@
 //! The actors: they bring events to the core and carry its actions out.
 
-use super::{Action, Ask, Event, Node, Now, Reply, RequestId};
-use crate::cloud;
 use crate::constants::*;
-use crate::settings::Settings;
-use crate::store;
-use crate::wire::cloud as cloud_wire;
-use crate::wire::controllers::{self as controllers_wire, Beat};
-use crate::wire::state as state_wire;
-use crate::wire::workers::{self as workers_wire, Direct, Report};
-use crate::wire::{read, write};
 use actix::prelude::*;
 use awc::Client;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use swiftsail_core::constants::*;
+use swiftsail_core::node::{Action, Ask, Event, Node, Now, Reply, RequestId};
+use swiftsail_core::settings::Settings;
+use swiftsail_core::{cloud, store};
+use swiftsail_wire::cloud as cloud_wire;
+use swiftsail_wire::controllers::{self as controllers_wire, Beat};
+use swiftsail_wire::state as state_wire;
+use swiftsail_wire::workers::{self as workers_wire, Direct, Report};
+use swiftsail_wire::{read, write};
 use tokio::sync::oneshot;
 
 /// The one actor that owns the core.
@@ -161,7 +161,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.set_mailbox_capacity(1024);
+        ctx.set_mailbox_capacity(MAILBOX_MOST);
         ctx.run_interval(Duration::from_millis(TICK_MS), |me, ctx| me.happen(Event::Tick, ctx));
     }
 }
@@ -214,7 +214,7 @@
     let mut response = sent.map_err(|e| tracing::debug!(cause = %e, "a call had no answer"))?;
     let status = response.status().as_u16();
     // A follow's response has no size limit of its own.
-    let bytes = response.body().limit(16 << 20).await;
+    let bytes = response.body().limit(RESPONSE_MOST).await;
     bytes.map(|b| (status, b.to_vec())).map_err(|_| ())
 }
 
--- a/src/front/mod.rs
+++ b/src/front.rs
@@ -1,11 +1,7 @@
 //! The HTTP front: users, workers, health checks; and the controllers' own listener.
 
-use crate::cluster::actor::{Asked, BeatIn, Controller, Incoming};
-use crate::cluster::{Ask, Reply};
 use crate::constants::*;
-use crate::settings::Settings;
-use crate::wire::users::Problem;
-use crate::wire::{controllers, read, users, workers, write};
+use crate::controller::{Asked, BeatIn, Controller, Incoming};
 use actix::Addr;
 use actix_web::dev::Payload;
 use actix_web::error::InternalError;
@@ -13,6 +9,11 @@
 use actix_web::{App, FromRequest, HttpRequest, HttpResponse, HttpServer, web};
 use std::net::SocketAddr;
 use std::time::Duration;
+use swiftsail_core::node::{Ask, Reply};
+use swiftsail_core::settings::Settings;
+use swiftsail_wire::constants::BODY_MOST;
+use swiftsail_wire::users::Problem;
+use swiftsail_wire::{controllers, read, users, workers, write};
 
 fn respond(reply: Reply) -> HttpResponse {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,12 +1,12 @@
 //! The command line.
 
-use crate::cluster::actor::Controller;
-use crate::settings::Settings;
+use crate::controller::Controller;
 use actix::Actor;
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use swiftsail_core::settings::Settings;
 use tracing::level_filters::LevelFilter;
 
 /// Variable that says how much is logged.
--- a/tests/chance.rs
+++ b/tests/chance.rs
@@ -2,7 +2,14 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use swiftsail::chance::{Histories, Pmf};
+use swiftsail_core::chance::{Histories, Pmf};
+use swiftsail_core::job::{Kind, Spec};
+use swiftsail_standin::spec;
+
+/// A job of class `c`, its tasks estimated at 10 s.
+fn ours() -> Spec {
+    Spec { class: "c".into(), estimate_s: 10.0, ..spec(Kind::Array, 100, 1.0, "i") }
+}
 
 fn runner() -> TestRunner {
     let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
@@ -78,13 +85,13 @@
 #[test]
 fn a_history_moves_from_the_estimate_to_what_was_seen() {
     let mut histories = Histories::default();
-    let history = histories.of(&"wk-1".into(), "c", 10.0);
-    let prior = history.run_time("big").clone();
+    let (id, ours) = ("wk-1".into(), ours());
+    let prior = histories.run_time(&id, &ours, "big");
     assert!((prior.mean() - 17_500.0).abs() < 1.0, "evenly from 5 s to 30 s");
     for _ in 0..50 {
-        history.record("big", 8_000);
+        histories.finished(&id, &ours, "big", 8_000);
     }
-    let learnt = history.run_time("big");
+    let learnt = histories.run_time(&id, &ours, "big");
     assert!(learnt.chance(9_500.0) > 0.9, "chance {}", learnt.chance(9_500.0));
     assert!(learnt.chance(7_000.0) < 0.1);
 }
@@ -95,7 +102,7 @@
     for job in 0..12 {
         for _ in 0..100 {
             // Estimated at 10 s, run 12 s; one job alone must not speak for its class.
-            histories.finished(&format!("wk-{job}").as_str().into(), "c", 10.0, "big", 12_000);
+            histories.finished(&format!("wk-{job}").as_str().into(), &ours(), "big", 12_000);
         }
         let prior = histories.prior("c", 100.0);
         assert_eq!(job < 2, (prior.mean() - 175_000.0).abs() < 1.0, "after job {job}");
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,33 +1,32 @@
 //! What a leader with a thousand machines and a hundred thousand tasks does, counted in work items
 //! and bytes: never in time.
 
-mod standin;
+use swiftsail_standin::{self as standin, spec};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use swiftsail::cloud::{self, Cloud};
-use swiftsail::cluster::leader::{Leader, Source};
-use swiftsail::cluster::{Ctx, Purpose};
-use swiftsail::constants::*;
-use swiftsail::fleet;
-use swiftsail::job::{JobRecord, Kind, Priority, Spec, Stage, keys};
-use swiftsail::machine::MachineType;
-use swiftsail::placement;
-use swiftsail::settings::Settings;
-use swiftsail::store::{Call, Outcome, Store};
-use swiftsail::wire::cloud::{Listed, ListedState, Listing};
-use swiftsail::wire::state::{Change, Commit};
-use swiftsail::wire::workers::{Phase, Report, Shard};
+use swiftsail_core::cloud::{self, Cloud};
+use swiftsail_core::constants::*;
+use swiftsail_core::job::{JobRecord, Kind, Spec, Stage, keys};
+use swiftsail_core::machine::MachineType;
+use swiftsail_core::node::{self, Ctx, Purpose};
+use swiftsail_core::placement::View;
+use swiftsail_core::settings::Settings;
+use swiftsail_core::steering::Steering;
+use swiftsail_core::store::{Call, Outcome, Store};
+use swiftsail_core::tables::{Source, Tables};
+use swiftsail_wire::cloud::{Listed, ListedState, Listing};
+use swiftsail_wire::state::{Change, Commit};
+use swiftsail_wire::workers::{Phase, Report, Shard};
 
 const TOKEN: u64 = 40;
 
 struct Bench {
-    leader: Leader,
+    leader: Tables,
     store: Store<Purpose>,
     cloud: Cloud,
     settings: Arc<Settings>,
     types: Arc<Vec<MachineType>>,
-    direct: Vec<(String, swiftsail::wire::workers::Direct)>,
     now: u64,
     stamp: u64,
     tick: u64,
@@ -35,42 +34,10 @@
 
 macro_rules! ctx {
     ($b:expr) => {
-        &mut Ctx {
-            now: $b.now,
-            wall: $b.now,
-            settings: &$b.settings,
-            types: Some($b.types.clone()),
-            store: &mut $b.store,
-            cloud: &mut $b.cloud,
-            direct: &mut $b.direct,
-        }
+        &mut Ctx { now: $b.now, wall: $b.now, settings: &$b.settings, store: &mut $b.store }
     };
 }
 
-fn spec(kind: Kind, tasks: u32, cpus: f64, image: &str) -> Spec {
-    Spec {
-        class: format!("{kind:?}"),
-        team: "blue".into(),
-        kind,
-        priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
-        tasks,
-        cpus,
-        gpus: 0.0,
-        memory_gb: 0.5,
-        image: image.into(),
-        image_gb: 0.1,
-        types: None,
-        zone: None,
-        one_zone: kind == Kind::Gang,
-        spread: false,
-        spot: kind != Kind::Service,
-        estimate_s: 30.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: (kind == Kind::Array).then_some(600.0),
-    }
-}
-
 impl Bench {
     fn new() -> Bench {
         let now = standin::BEGIN;
@@ -87,12 +54,11 @@
             zones: vec!["a".into(), "b".into(), "c".into()],
         };
         Bench {
-            leader: Leader::new(TOKEN, 1, now),
+            leader: Tables::new(TOKEN, 1, now),
             store: Store::new(150.0, 30.0, now),
             cloud: Cloud::new(4.0, now),
             settings: standin::settings(0),
             types: Arc::new(vec![kind("s4", 4.0, 0.3), kind("l64", 64.0, 3.3)]),
-            direct: Vec::new(),
             now,
             stamp: 100,
             tick: 1,
@@ -112,7 +78,7 @@
             recall_s: None,
             shards,
         };
-        self.leader.on_report(&report, Source::Report, ctx!(self)).orders.len()
+        self.leader.on_report(&report, Source::Report, self.now, &self.types).orders.len()
     }
 
     fn machines(&mut self, number: usize, hull: &str) {
@@ -136,10 +102,22 @@
     }
 
     fn pass(&mut self) -> u64 {
-        let before = self.leader.scored;
         self.now += ROUND_MS;
-        placement::pass(&mut self.leader, ctx!(self), true);
-        self.leader.scored - before
+        let steering = Steering::default();
+        let (settings, types) = (&self.settings, &self.types);
+        let view = View { now: self.now, settings, types, steering: &steering };
+        let passed = node::pass(&mut self.leader, view, true);
+        let wishes = passed.wishes.unwrap_or_default();
+        node::rent(&mut self.leader, &mut self.cloud, wishes, self.now);
+        passed.scored
+    }
+
+    fn tend(&mut self) {
+        let steering = Steering::default();
+        let (settings, types) = (&self.settings, &self.types);
+        let view = View { now: self.now, settings, types, steering: &steering };
+        node::tend(&mut self.leader, &mut self.cloud, view, true);
+        self.leader.stops(self.now);
     }
 
     /// Every machine reports that all bound to it runs.
@@ -315,8 +293,7 @@
     let step = |bench: &mut Bench| {
         bench.now += 5_000;
         bench.beat();
-        bench.store.last_ok = Some(bench.now);
-        fleet::tick(&mut bench.leader, ctx!(bench));
+        bench.tend();
     };
     // The other is full: nothing fits there, however costly this one is.
     for _ in 0..20 {
@@ -362,8 +339,8 @@
     bench.leader.on_listing(&page, bench.now);
     bench.submit("wk-1", spec(Kind::Array, 200, 1.0, "i"));
     bench.pass();
-    assert!(bench.leader.fleet.asked().is_empty(), "workers still look for the new leader");
+    assert!(bench.leader.rentals.asked().next().is_none(), "workers still look for the new leader");
     bench.now += EXPECT_MS;
     bench.pass();
-    assert!(!bench.leader.fleet.asked().is_empty(), "none of them was heard");
+    assert!(bench.leader.rentals.asked().next().is_some(), "none of them was heard");
 }
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -2,13 +2,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use swiftsail::job::{
-    Attempt, Bound, Chunk, Job, JobRecord, JobState, Kind, Priority, Spec, Stage,
-};
-use swiftsail::machine::{Machine, Standing};
-use swiftsail::settings::Settings;
-use swiftsail::term::{Phase, Term, Voucher, may_answer};
-use swiftsail::wire::workers::Cause;
+use swiftsail_core::job::{Attempt, Bound, Chunk, Job, JobRecord, JobState, Kind, Spec, Stage};
+use swiftsail_core::machine::{Machine, Standing};
+use swiftsail_core::settings::Settings;
+use swiftsail_core::term::{Phase, Term, Voucher, may_answer};
+use swiftsail_standin::spec;
+use swiftsail_wire::workers::Cause;
 
 fn runner() -> TestRunner {
     let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
@@ -16,27 +15,7 @@
 }
 
 fn job(tasks: u32) -> Job {
-    let spec = Spec {
-        class: "c".into(),
-        team: "t".into(),
-        kind: Kind::Array,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: true,
-        spot: false,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: Some(60.0),
-    };
+    let spec = Spec { spread: true, ..spec(Kind::Array, tasks, 1.0, "i") };
     let record = JobRecord {
         cancelled: false,
         cancelled_wall: 0,
