--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -99,6 +99,12 @@
 /// Launch numbers of one term start at its token shifted left by this many bits. A term thus
 /// has 2^24 launches, and no two terms share one.
 pub const LAUNCH_BITS: u32 = 24;
+/// Time to its deadline told of a job without one, s.
+pub const NO_DEADLINE_S: f64 = 1e9;
+/// Happenings held between two events at most (memory).
+pub const HAPPENINGS_MOST: usize = 1_000;
+/// Time after which the plug-ins are read again when a read or a watch of them failed, ms.
+pub const PLUGINS_AGAIN_MS: u64 = 3_000;
 /// Jobs whose counts a heartbeat tells (size of the message).
 pub const COUNTS_MOST: usize = 1_000;
 /// Final answers a node keeps in its cache.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -16,6 +16,8 @@
     pub const BINDINGS: &str = "bind/";
     /// Sheets of the ledger: new bindings of all jobs.
     pub const SHEETS: &str = "sheet/";
+    /// Plug-ins: records, and their sources in chunks.
+    pub const PLUGINS: &str = "plug/";
     /// The leader's key.
     pub const LEADER: &str = "term/leader";
     /// Prefix of the leader's key.
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -48,6 +48,14 @@
     ResolveChunk { era: u64, job: JobId, index: usize },
     /// Remove keys that nothing refers to.
     Sweep { era: u64 },
+    /// Read all plug-ins.
+    ReadPlugins,
+    /// Watch the plug-ins.
+    FollowPlugins,
+    /// Write a plug-in, for an operator or to suspend it.
+    WritePlugin { request: Option<RequestId>, name: String },
+    /// Read a page of jobs for an operator.
+    ListJobs { request: RequestId },
     /// Create a job.
     Create { request: RequestId, job: JobId },
     /// Read a job for those who asked.
@@ -138,6 +146,10 @@
                     leader.on_resolve_chunk(&job, index, &end.outcome, &mut ctx!(self));
                 }
             }
+            Purpose::ReadPlugins
+            | Purpose::FollowPlugins
+            | Purpose::WritePlugin { .. }
+            | Purpose::ListJobs { .. } => self.on_plugin_store(end),
             Purpose::Create { .. }
             | Purpose::ReadJob(_)
             | Purpose::ReadFinal(_)
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -82,6 +82,7 @@
 
     pub(super) fn step_down(&mut self, why: &str) {
         tracing::warn!(term = self.term.token, why, "stepping down");
+        self.tell_term("ended", why);
         self.term.advance(Phase::Unknown);
         self.leader = None;
         self.loading = None;
@@ -231,6 +232,7 @@
             "leading"
         );
         self.leader = Some(leader);
+        self.tell_term("begun", &self.settings.host_name.clone());
         self.follow_jobs(from, era);
         self.keep_types();
         for (id, report, relayed) in std::mem::take(&mut self.held_reports) {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -15,16 +15,20 @@
     };
 }
 
+mod admin;
 mod calls;
 mod chunks;
 mod lead;
 mod ledger;
 mod passes;
 mod peers;
+mod plugins;
 mod requests;
 mod status;
+mod steer;
 mod workers;
 
+pub use admin::AdminAsk;
 pub use calls::Purpose;
 pub use passes::{Passed as PassOutcome, pass, rent, tend};
 
@@ -39,11 +43,16 @@
 use crate::tables::Tables;
 use crate::term::{Phase, Term};
 use peers::Peer;
+use plugins::Plugins;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use requests::Requests;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use swiftsail_policy::host::Host;
+use swiftsail_policy::operator::Operator;
+use swiftsail_policy::outbox::Delivery;
+use swiftsail_policy::policy::Policy;
 use swiftsail_wire::controllers::Beat;
 use swiftsail_wire::workers::{Direct, Report};
 use workers::Passed;
@@ -115,6 +124,10 @@
     Relayed(RequestId, Option<Reply>),
     /// Another controller's heartbeat, or its answer to ours.
     Beat(Beat),
+    /// An operator's request.
+    Admin(RequestId, AdminAsk),
+    /// A delivery to a report hook has ended: of which plug-in, and whether it was taken.
+    Delivered(String, bool),
 }
 
 /// What a node wants done.
@@ -132,6 +145,8 @@
     Relay(RequestId, String, Box<Report>),
     /// Send a heartbeat to every other controller.
     Beat(Beat),
+    /// Deliver events to a report hook.
+    Deliver(Delivery),
 }
 
 /// What the leader's functions work with.
@@ -159,6 +174,11 @@
     loading: Option<Tables>,
     types: Option<Arc<Vec<MachineType>>>,
     steering: Steering,
+    policy: Policy,
+    host: Host,
+    plugins: Plugins,
+    /// Attributes of the cluster as the leader last told them.
+    heard: Vec<f64>,
     scored: u64,
     status_at: Time,
     requests: Requests,
@@ -177,8 +197,13 @@
 }
 
 impl Node {
-    /// A node that has just started. `seed` feeds all its random choices.
+    /// A node that has just started, without an operators' file.
     pub fn new(settings: Arc<Settings>, seed: u64, now: Now) -> Node {
+        Node::operated(settings, &Operator::default(), seed, now)
+    }
+
+    /// A node that has just started. `seed` feeds all its random choices.
+    pub fn operated(settings: Arc<Settings>, operator: &Operator, seed: u64, now: Now) -> Node {
         let mut rng = StdRng::seed_from_u64(seed);
         let (rps, write_rps) = rates(&settings, false);
         let cloud = Cloud::new(settings.settings.cloud.rps, now.steady);
@@ -193,6 +218,10 @@
             loading: None,
             types: None,
             steering: Steering::default(),
+            policy: operator.policy(),
+            host: Host::default(),
+            plugins: Plugins::new(operator.plugins.enabled),
+            heard: Vec::new(),
             scored: 0,
             status_at: 0,
             requests: Requests::default(),
@@ -252,8 +281,11 @@
                 self.actions.push(Action::Reply(id, reply));
             }
             Event::Beat(beat) => self.on_beat(&beat),
+            Event::Admin(id, ask) => self.on_admin(id, ask),
+            Event::Delivered(name, taken) => self.host.delivered(&name, taken, now.steady),
         }
         self.place();
+        self.tell();
     }
 
     /// Whether this node leads.
@@ -310,6 +342,7 @@
             leader.flush_all(&mut ctx);
         }
         self.sweep();
+        self.tend_plugins();
         self.status();
     }
 
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -94,13 +94,16 @@
     /// Plays a pass, if one is due.
     pub(super) fn place(&mut self) {
         let now = self.now.steady;
-        let Some(leader) = &mut self.leader else { return };
+        let Some(leader) = &self.leader else { return };
         let Some(full) = placement::want_pass(leader, self.steering.round_ms, now) else { return };
+        self.steer(full);
+        let Some(leader) = &mut self.leader else { return };
         let Some(types) = self.types.clone() else { return };
         let settings = self.settings.clone();
         let view = View { now, settings: &settings, types: &types, steering: &self.steering };
         let passed = pass(leader, view, full);
         self.scored += passed.scored;
+        self.host.end_pass(passed.scored);
         rent(leader, &mut self.cloud, passed.wishes.unwrap_or_default(), now);
         if passed.bound > 0 {
             leader.write_ledger(&mut ctx!(self));
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -22,6 +22,7 @@
             token: self.term.highest,
             leads: self.leads(),
             store_age_ms: if away { self.now.steady.saturating_sub(ok) } else { 0 },
+            cluster: self.told_cluster(),
             counts: self.leader.as_ref().map(Tables::counts).unwrap_or_default(),
         }
     }
@@ -35,6 +36,7 @@
         }
         if beat.leads && beat.token >= self.term.highest {
             self.term.held_by(&beat.node, beat.token);
+            self.heard.clone_from(&beat.cluster);
             self.counts = beat.counts.iter().map(|(id, d, r)| (id.clone(), (*d, *r))).collect();
         }
         let voucher =
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -1,7 +1,7 @@
 //! Users' requests. Every answer about a job that is not over comes from a read of the store that
 //! began after the request came; identical reads are merged.
 
-use super::{Action, Ask, Node, Purpose, Reply, RequestId};
+use super::{Ask, Node, Purpose, Reply, RequestId};
 use crate::constants::*;
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
@@ -59,7 +59,7 @@
 
 impl Node {
     fn reply(&mut self, request: RequestId, reply: Reply) {
-        self.actions.push(Action::Reply(request, reply));
+        self.answer(request, reply);
     }
 
     pub(super) fn on_user(&mut self, request: RequestId, ask: Ask) {
@@ -103,7 +103,7 @@
         // A known job is answered from its record, whatever this body says.
         let refusal = match &submission.spec {
             Err(e) => Some(problem(400, e.to_string())),
-            Ok(spec) => self.judge(spec),
+            Ok(spec) => self.judge(spec).or_else(|| self.advised(&id, spec)),
         };
         if let Some(reply) = refusal {
             return self.read_job(&id, Waiter { request, intent: Intent::Known(reply) });
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -2,12 +2,14 @@
 //! is one function. Tables know nobody above them: placement and fleet read them, and the node alone
 //! applies what those plan.
 
+mod happenings;
 mod lines;
 mod rentals;
 mod reports;
 mod rooms;
 mod sheets;
 
+pub use happenings::{Happening, Happenings};
 pub use lines::{Line, Lines, Slot};
 pub use rentals::{Market, Rentals, Wish};
 pub use reports::Source;
@@ -59,6 +61,8 @@
     pub ledger: Ledger,
     /// Keys of bindings whose job is over, to be removed.
     pub left_over: Vec<String>,
+    /// What happened, for report hooks.
+    pub happenings: Happenings,
     /// Jobs of which something has ended: they may be over.
     ended: BTreeSet<JobId>,
     /// Revision up to which changes of jobs are known.
@@ -92,6 +96,7 @@
             nonce: 0,
             ledger: Ledger::default(),
             left_over: Vec::new(),
+            happenings: Happenings::default(),
             ended: BTreeSet::new(),
             follow_from: 0,
         }
@@ -150,6 +155,7 @@
         let id = JobId::from(id);
         let job = self.jobs.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
+            self.happenings.note("job", "accepted", &id, Some(&record.spec.class));
             Job::new(id.clone(), &record, stamp, now, wall)
         });
         if stamp >= job.stamp {
@@ -208,6 +214,7 @@
         self.lines.drop_machine(id);
         self.machines.remove(id);
         self.stir = true;
+        self.happenings.note("machine", "gone", id, None);
         tracing::debug!(machine = %id, "machine gone");
     }
 
@@ -246,6 +253,7 @@
                 let open =
                     job.waiting.len() + job.attempts.values().filter(|a| a.occupies()).count();
                 self.misses += open as u32;
+                self.happenings.note("job", "late", id, None);
                 over.push(id.clone());
             }
         }
@@ -297,6 +305,8 @@
                 machine.let_go(id, *task, now);
             }
         }
+        let what = if job.cancelled() { "cancelled" } else { "done" };
+        self.happenings.note("job", what, id, None);
         self.lines.drop_job(id);
         self.history.forget(id);
         self.preempting.remove(id);
--- a/crates/core/src/tables/rentals.rs
+++ b/crates/core/src/tables/rentals.rs
@@ -146,6 +146,7 @@
     pub fn want_return(&mut self, id: &MachineId, why: &str, now: Time) -> bool {
         let marked = self.machine(id, now).advance(Standing::Returning);
         if marked {
+            self.happenings.note("machine", "returning", id, Some(why));
             tracing::debug!(machine = %id, why, "returning machine");
             self.rentals.wanted.insert(id.clone());
         }
@@ -166,6 +167,8 @@
     /// planned at once, not with the next round.
     pub fn rented(&mut self, charter: &str, names: &[String], now: Time) {
         let Some(Asked { wish, .. }) = self.rentals.asked.remove(charter) else { return };
+        let what = format!("rented {} of {}", names.len(), wish.number);
+        self.happenings.note("rental", what, &wish.kind, Some(&wish.zone));
         if (names.len() as u32) < wish.number {
             self.rentals.refuse(wish.market(), now);
             self.round_at = 0;
@@ -187,6 +190,7 @@
     /// A rental was refused. Others are planned at once.
     pub fn refused(&mut self, charter: &str, now: Time) {
         let Some(Asked { wish, .. }) = self.rentals.asked.remove(charter) else { return };
+        self.happenings.note("rental", "no capacity", &wish.kind, Some(&wish.zone));
         tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, "no capacity");
         self.rentals.refuse(wish.market(), now);
         self.round_at = 0;
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -64,6 +64,7 @@
                 machine.advance(Standing::Ready);
                 machine.idle_since = now;
                 self.stir = true;
+                self.happenings.note("machine", "ready", &id, Some(&report.hull));
                 tracing::debug!(machine = %id, kind = %report.hull, zone = %report.dock, "machine ready");
             }
         } else if machine.standing() == Standing::Expected {
@@ -115,6 +116,8 @@
                         m.recount();
                     }
                     if stage == Stage::Running {
+                        let name = join_task(&job_id, task);
+                        self.happenings.note("task", "runs", name, Some(id));
                         let waited_ms = now.saturating_sub(job.known_at);
                         let bound_ms = now.saturating_sub(attempt.since);
                         tracing::debug!(job = %job_id, task, machine = %id, class = %job.spec.class, waited_ms, bound_ms, "task runs");
@@ -155,6 +158,7 @@
                 attempt.given_up && committed
             };
             if gone {
+                self.happenings.note("task", "gone", join_task(&job_id, task), Some(id));
                 tracing::debug!(job = %job_id, task, launch, machine = %id, "attempt proved gone");
                 self.release(&job_id, task, now);
                 self.after_loss(&job_id);
@@ -271,6 +275,8 @@
         let seen_whole = !attempt.old_term;
         let ran = attempt.ran_at.filter(|_| seen_whole).map(|at| now.saturating_sub(at));
         self.stir = true;
+        let what = format!("{cause:?}").to_lowercase();
+        self.happenings.note("task", what, join_task(id, task), Some(&machine_id));
         if cause == Cause::Done {
             job.touch(task, now);
             if let Some(machine) = self.machines.get_mut(&machine_id) {
@@ -296,6 +302,7 @@
                 machine.errors.insert(id.clone());
                 if machine.errors.len() >= SUSPECT_JOBS && !machine.suspect {
                     machine.suspect = true;
+                    self.happenings.note("machine", "suspected", &machine_id, None);
                     tracing::warn!(machine = %machine_id, "machine suspected: tasks of several jobs fail on it");
                 }
             }
--- /dev/null
+++ b/crates/policy/src/lang.rs
@@ -0,0 +1,204 @@
+//! The embedded language, bounded: what every expression and plug-in runs in. There is no I/O, no
+//! clock, no randomness, no module and no `eval` in it.
+
+use crate::constants::*;
+use crate::facts::{Attribute, SUBJECTS};
+use rhai::packages::{
+    BasicArrayPackage, BasicMapPackage, BasicMathPackage, CorePackage, LogicPackage,
+    MoreStringPackage, Package,
+};
+use rhai::{AST, ASTNode, Dynamic, Engine, EvalAltResult, Expr, ParseError, Position, Scope};
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// Where something is wrong in a source, and what.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}, column {column}: {cause}")]
+pub struct Flaw {
+    /// Line, from 1; 0 if not known.
+    pub line: usize,
+    /// Column, from 1; 0 if not known.
+    pub column: usize,
+    /// What is wrong, and what was expected.
+    pub cause: String,
+}
+
+impl Flaw {
+    /// A flaw at a position.
+    pub fn at(position: Position, cause: impl Into<String>) -> Flaw {
+        Flaw {
+            line: position.line().unwrap_or(0),
+            column: position.position().unwrap_or(0),
+            cause: cause.into(),
+        }
+    }
+}
+
+impl From<ParseError> for Flaw {
+    fn from(e: ParseError) -> Flaw {
+        Flaw::at(e.position(), e.err_type().to_string())
+    }
+}
+
+impl From<Box<EvalAltResult>> for Flaw {
+    fn from(e: Box<EvalAltResult>) -> Flaw {
+        let cause = match e.unwrap_inner() {
+            EvalAltResult::ErrorTooManyOperations(_) => {
+                "it takes too many operations: it may loop for ever, or must do less".into()
+            }
+            EvalAltResult::ErrorStackOverflow(_) => "its calls are nested too deeply".into(),
+            other => {
+                let text = other.to_string();
+                // The language adds the position in its own words.
+                text.split(" (line ").next().unwrap_or(&text).to_string()
+            }
+        };
+        Flaw::at(e.position(), cause)
+    }
+}
+
+/// The language with its bounds, and a count of what evaluations took.
+pub struct Lang {
+    engine: Engine,
+    ops: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for Lang {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Lang").finish_non_exhaustive()
+    }
+}
+
+impl Lang {
+    /// The language, each evaluation bounded to that many operations.
+    pub fn new(most_ops: u64) -> Lang {
+        let mut engine = Engine::new_raw();
+        CorePackage::new().register_into_engine(&mut engine);
+        LogicPackage::new().register_into_engine(&mut engine);
+        BasicMathPackage::new().register_into_engine(&mut engine);
+        BasicArrayPackage::new().register_into_engine(&mut engine);
+        BasicMapPackage::new().register_into_engine(&mut engine);
+        MoreStringPackage::new().register_into_engine(&mut engine);
+        engine
+            .set_max_operations(most_ops)
+            .set_max_call_levels(CALL_DEPTH)
+            .set_max_expr_depths(EXPR_DEPTH, EXPR_DEPTH)
+            .set_max_string_size(TEXT_MOST)
+            .set_max_array_size(LIST_MOST)
+            .set_max_map_size(MAP_MOST)
+            .set_max_variables(VARIABLES_MOST)
+            .set_max_functions(FUNCTIONS_MOST)
+            .set_allow_anonymous_fn(false)
+            .set_strict_variables(true)
+            .set_fail_on_invalid_map_property(true)
+            .disable_symbol("eval");
+        engine.on_print(|_| {}).on_debug(|_, _, _| {});
+        let ops = Rc::new(Cell::new(0));
+        let seen = ops.clone();
+        engine.on_progress(move |count| {
+            seen.set(count);
+            None
+        });
+        Lang { engine, ops }
+    }
+
+    /// Operations that the last evaluation took.
+    pub fn ops(&self) -> u64 {
+        self.ops.get()
+    }
+
+    /// Compiles one expression, in which these subjects stand.
+    pub fn expression(&self, source: &str, subjects: &[&str]) -> Result<AST, Flaw> {
+        let mut scope = Scope::new();
+        for name in subjects {
+            scope.push_constant_dynamic(*name, Dynamic::UNIT);
+        }
+        let ast = self
+            .engine
+            .compile_expression_with_scope(&scope, source)
+            .map_err(|e| near(e, subjects.iter().copied()))?;
+        check_names(&ast)?;
+        Ok(ast)
+    }
+
+    /// Compiles a plug-in: functions only.
+    pub fn script(&self, source: &str) -> Result<AST, Flaw> {
+        let ast = self.engine.compile(source).map_err(|e| near(e, SUBJECTS.iter().map(|s| s.0)))?;
+        check_names(&ast)?;
+        Ok(ast)
+    }
+
+    /// Evaluates an expression over subjects.
+    pub fn eval(&self, ast: &AST, subjects: Vec<(&str, Dynamic)>) -> Result<Dynamic, Flaw> {
+        self.ops.set(0);
+        let mut scope = Scope::new();
+        for (name, value) in subjects {
+            scope.push_constant_dynamic(name, value);
+        }
+        Ok(self.engine.eval_ast_with_scope::<Dynamic>(&mut scope, ast)?)
+    }
+
+    /// Calls a plug-in's function.
+    pub fn call(&self, ast: &AST, name: &str, args: Vec<Dynamic>) -> Result<Dynamic, Flaw> {
+        self.ops.set(0);
+        let mut scope = Scope::new();
+        Ok(self.engine.call_fn::<Dynamic>(&mut scope, ast, name, args)?)
+    }
+}
+
+/// A flaw that names the nearest known name of a variable.
+fn near<'a>(e: ParseError, known: impl Iterator<Item = &'a str>) -> Flaw {
+    let position = e.position();
+    match e.err_type() {
+        rhai::ParseErrorType::VariableUndefined(name) => {
+            Flaw::at(position, unknown("name", name, known))
+        }
+        _ => e.into(),
+    }
+}
+
+/// Words for an unknown name, with the nearest one that is known.
+pub fn unknown<'a>(what: &str, name: &str, known: impl Iterator<Item = &'a str>) -> String {
+    let all: Vec<&str> = known.collect();
+    let best = all
+        .iter()
+        .map(|k| (strsim::jaro_winkler(name, k), *k))
+        .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+    match best {
+        Some((likeness, k)) if likeness >= NEAR => {
+            format!("unknown {what} `{name}`; did you mean `{k}`?")
+        }
+        _ => format!("unknown {what} `{name}`; known are {}", all.join(", ")),
+    }
+}
+
+/// Refuses attributes that no subject has, in branches too that no trial would take.
+fn check_names(ast: &AST) -> Result<(), Flaw> {
+    let mut flaw = None;
+    ast.walk(&mut |path| {
+        if let Some(ASTNode::Expr(Expr::Dot(pair, ..))) = path.last()
+            && let Expr::Variable(variable, ..) = &pair.lhs
+            && let Some((subject, table)) = SUBJECTS.iter().find(|s| *s.0 == *variable.1.as_str())
+        {
+            let first = match &pair.rhs {
+                Expr::Dot(inner, ..) | Expr::Index(inner, ..) => &inner.lhs,
+                other => other,
+            };
+            if let Expr::Property(property, position) = first
+                && !table.iter().any(|a| *a.0 == *property.2.as_str())
+            {
+                let what = format!("attribute of {subject}:");
+                let names = table.iter().map(|a: &Attribute| a.0);
+                flaw = Some(Flaw::at(*position, unknown(&what, &property.2, names)));
+            }
+        }
+        flaw.is_none()
+    });
+    flaw.map_or(Ok(()), Err)
+}
+
+/// Functions that a compiled plug-in defines, with their number of parameters.
+pub fn functions(ast: &AST) -> BTreeSet<(String, usize)> {
+    ast.iter_functions().map(|f| (f.name.to_string(), f.params.len())).collect()
+}
--- /dev/null
+++ b/crates/policy/src/operator.rs
@@ -0,0 +1,162 @@
+//! The operators' file: what those who run the service set, beyond the platform's file. TOML, checked
+//! like the platform's; everything in it is off unless switched on.
+
+use crate::lang::Flaw;
+use crate::policy::{Policy, knob_names};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why an operators' file was refused.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// The file could not be read.
+    #[error(
+        "operators' file {file}: cannot be read: {cause}; give the path of a readable TOML file"
+    )]
+    Read {
+        /// Path of the file.
+        file: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The file is not TOML of the expected form.
+    #[error("operators' file {file}: {cause}")]
+    Form {
+        /// Path of the file.
+        file: String,
+        /// What the parser said, with line and field.
+        cause: Box<toml::de::Error>,
+    },
+    /// An expression is not sound.
+    #[error("operators' file {file}, line {line}, column {column}: policy `{name}`: {cause}")]
+    Policy {
+        /// Path of the file.
+        file: String,
+        /// Line in the file.
+        line: usize,
+        /// Column in the file.
+        column: usize,
+        /// What the expression sets.
+        name: String,
+        /// What is wrong, and what was expected.
+        cause: String,
+    },
+}
+
+/// The `[admin]` table: where operators' commands are taken.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Address; none: no listener.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+}
+
+/// The `[plugins]` table.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plugins {
+    /// Whether plug-ins are kept and asked.
+    #[serde(default)]
+    pub enabled: bool,
+}
+
+/// A checked operators' file.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// Where operators' commands are taken.
+    #[serde(default)]
+    pub admin: Admin,
+    /// Plug-ins.
+    #[serde(default)]
+    pub plugins: Plugins,
+    /// Expressions, by the name of what they set.
+    #[serde(default)]
+    pub policy: BTreeMap<String, Setting>,
+}
+
+/// An expression, or a number that stands for itself.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(untagged, expecting = "a number, or an expression in quotes, is expected")]
+pub enum Setting {
+    /// A whole number.
+    Whole(i64),
+    /// A number.
+    Number(f64),
+    /// An expression.
+    Expression(String),
+}
+
+impl Setting {
+    fn source(&self) -> String {
+        match self {
+            Setting::Whole(n) => n.to_string(),
+            Setting::Number(n) => format!("{n:?}"),
+            Setting::Expression(text) => text.clone(),
+        }
+    }
+}
+
+impl Operator {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Operator, OperatorError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| OperatorError::Read { file: file.clone(), cause })?;
+        Operator::parse(&file, &text)
+    }
+
+    /// Reads and checks a text; `file` names it in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Operator, OperatorError> {
+        let found: Operator = toml::from_str(text)
+            .map_err(|cause| OperatorError::Form { file: file.into(), cause: Box::new(cause) })?;
+        match found.compile() {
+            Ok(_) => Ok(found),
+            Err((name, flaw)) => {
+                let (line, column) = place(text, &name, &flaw);
+                let cause = flaw.cause;
+                Err(OperatorError::Policy { file: file.into(), line, column, name, cause })
+            }
+        }
+    }
+
+    fn compile(&self) -> Result<Policy, (String, Flaw)> {
+        Policy::new(&self.policy.iter().map(|(k, v)| (k.clone(), v.source())).collect())
+    }
+
+    /// The policy, compiled. A checked file always has one.
+    pub fn policy(&self) -> Policy {
+        self.compile().unwrap_or_default()
+    }
+}
+
+/// Where in the file a flaw of a policy's expression lies: its key's line, and the column within the
+/// text after it. An expression of several lines is counted from there.
+fn place(text: &str, name: &str, flaw: &Flaw) -> (usize, usize) {
+    let mut inside = false;
+    for (n, line) in text.lines().enumerate() {
+        let bare = line.trim_start();
+        if bare.starts_with('[') {
+            inside = bare.starts_with("[policy]");
+        }
+        let key = bare.split('=').next().unwrap_or("").trim().trim_matches('"');
+        if inside && key == name {
+            let begin = line.find('=').map_or(0, |at| {
+                let rest = &line[at + 1..];
+                let quotes = rest.trim_start().chars().take_while(|c| matches!(c, '"' | '\''));
+                at + 1 + (rest.len() - rest.trim_start().len()) + quotes.count()
+            });
+            let known = knob_names().any(|k| k == name);
+            let (down, right) = (flaw.line.saturating_sub(1), flaw.column.max(1));
+            return match (known, down) {
+                (false, _) => (n + 1, line.len() - bare.len() + 1),
+                (true, 0) => (n + 1, begin + right),
+                (true, _) => (n + 1 + down, right),
+            };
+        }
+    }
+    (0, 0)
+}
--- /dev/null
+++ b/crates/policy/src/outbox.rs
@@ -0,0 +1,177 @@
+//! Report hooks: events on their way to an operator's address. A slow receiver costs nothing but the
+//! events that find no room.
+
+use crate::constants::*;
+use crate::host::Time;
+use crate::lang::{Flaw, unknown};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// Kinds of events.
+pub const KINDS: [&str; 5] = ["task", "job", "machine", "term", "rental"];
+
+/// An event as it is reported.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// One of [`KINDS`].
+    pub kind: String,
+    /// What happened: `runs`, `done`, `accepted`, ...
+    pub what: String,
+    /// Of which task, job, machine, term or market.
+    pub of: String,
+    /// More, if there is any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+    /// Time of day, ms since the epoch.
+    pub at_ms: u64,
+}
+
+/// A report hook: its source is TOML.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReportHook {
+    /// Address of the receiver, which takes POST requests of JSON.
+    pub to: SocketAddr,
+    /// Path there.
+    #[serde(default = "root")]
+    pub path: String,
+    /// Kinds of events wanted; all, if none is named.
+    #[serde(default)]
+    pub events: Vec<String>,
+}
+
+fn root() -> String {
+    "/".into()
+}
+
+impl ReportHook {
+    /// Reads and checks a source.
+    pub fn parse(source: &str) -> Result<ReportHook, Flaw> {
+        let found: ReportHook = toml::from_str(source).map_err(|e| {
+            let before = &source[..e.span().map_or(0, |s| s.start).min(source.len())];
+            let line = before.matches('\n').count() + 1;
+            let column = before.len() - before.rfind('\n').map_or(0, |n| n + 1) + 1;
+            Flaw { line, column, cause: e.message().to_string() }
+        })?;
+        let flaw = |cause: String| Err(Flaw { line: 0, column: 0, cause });
+        if let Some(odd) = found.events.iter().find(|e| !KINDS.contains(&e.as_str())) {
+            return flaw(unknown("event", odd, KINDS.into_iter()));
+        }
+        if !found.path.starts_with('/') || found.path.contains(char::is_whitespace) {
+            return flaw(format!("path `{}`: one that begins with / is expected", found.path));
+        }
+        Ok(found)
+    }
+}
+
+/// One delivery.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Delivery {
+    /// Plug-in.
+    pub plugin: String,
+    /// Receiver.
+    pub to: SocketAddr,
+    /// Path there.
+    pub path: String,
+    /// JSON: the events, and how many were dropped before them.
+    pub body: Vec<u8>,
+}
+
+/// What has become of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub struct Counts {
+    /// Wait.
+    pub waiting: usize,
+    /// Were taken by the receiver.
+    pub delivered: u64,
+    /// Found no room.
+    pub dropped: u64,
+    /// Deliveries that failed.
+    pub failures: u64,
+}
+
+/// Where deliveries stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The next may leave at this time.
+    Idle(Time),
+    /// One of so many events is under way.
+    Sending(usize),
+}
+
+/// The events of one receiver.
+#[derive(Debug)]
+pub struct Outbox {
+    hook: ReportHook,
+    queue: VecDeque<Event>,
+    phase: Phase,
+    pause: u64,
+    counts: Counts,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    events: Vec<&'a Event>,
+    dropped: u64,
+}
+
+impl Outbox {
+    /// An empty one.
+    pub fn new(hook: ReportHook) -> Outbox {
+        let phase = Phase::Idle(0);
+        Outbox { hook, queue: VecDeque::new(), phase, pause: 0, counts: Counts::default() }
+    }
+
+    /// Takes an event, if it is wanted. What finds no room pushes the oldest out.
+    pub fn push(&mut self, event: &Event) {
+        if !self.hook.events.is_empty() && !self.hook.events.contains(&event.kind) {
+            return;
+        }
+        if self.queue.len() >= OUTBOX_MOST {
+            // What is under way stays: it is at the front.
+            let under_way = if let Phase::Sending(n) = self.phase { n } else { 0 };
+            self.queue.remove(under_way);
+            self.counts.dropped += 1;
+        }
+        self.queue.push_back(event.clone());
+    }
+
+    /// The next delivery, if one may leave.
+    pub fn next(&mut self, plugin: &str, now: Time) -> Option<Delivery> {
+        let Phase::Idle(at) = self.phase else { return None };
+        if now < at || self.queue.is_empty() {
+            return None;
+        }
+        let events: Vec<&Event> = self.queue.iter().take(BATCH_MOST).collect();
+        let number = events.len();
+        let body = serde_json::to_vec(&Body { events, dropped: self.counts.dropped });
+        self.phase = Phase::Sending(number);
+        Some(Delivery {
+            plugin: plugin.to_string(),
+            to: self.hook.to,
+            path: self.hook.path.clone(),
+            body: body.unwrap_or_default(),
+        })
+    }
+
+    /// The delivery under way has ended. One that failed is tried again after a growing pause.
+    pub fn ended(&mut self, taken: bool, now: Time) {
+        let Phase::Sending(number) = self.phase else { return };
+        if taken {
+            self.queue.drain(..number.min(self.queue.len()));
+            self.counts.delivered += number as u64;
+            self.pause = 0;
+            self.phase = Phase::Idle(now + HOOK_EVERY_MS);
+        } else {
+            self.counts.failures += 1;
+            self.pause = (self.pause * 2).clamp(HOOK_PAUSE_MS, HOOK_PAUSE_MOST_MS);
+            self.phase = Phase::Idle(now + self.pause);
+        }
+    }
+
+    /// What has become of its events.
+    pub fn counts(&self) -> Counts {
+        Counts { waiting: self.queue.len(), ..self.counts }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plugin.rs
@@ -0,0 +1,151 @@
+//! A plug-in's record and its life cycle.
+
+use crate::constants::*;
+use crate::hooks::Hook;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// What a plug-in is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Functions of the embedded language that advise on decisions.
+    Decision,
+    /// An address to which events are reported.
+    Report,
+}
+
+/// Where a plug-in stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Its source has come, and is not checked yet.
+    Offered,
+    /// Sound, and not used.
+    Checked,
+    /// Asked in every pass.
+    Active,
+    /// Not asked, since it failed too often or made passes slow.
+    Suspended,
+    /// Gone; its name may be used again.
+    Removed,
+}
+
+/// What may happen to a plug-in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Its source was found sound.
+    Check,
+    /// An operator switches it on.
+    Enable,
+    /// An operator switches it off.
+    Disable,
+    /// It failed too often, or makes passes slow.
+    Suspend,
+    /// An operator offers another source under its name.
+    Offer,
+    /// An operator removes it.
+    Remove,
+}
+
+impl State {
+    /// The one function that changes the state. None: the step does not apply there.
+    pub fn after(self, step: Step) -> Option<State> {
+        match (self, step) {
+            (State::Removed, Step::Offer) => Some(State::Offered),
+            (State::Removed, _) => None,
+            (_, Step::Remove) => Some(State::Removed),
+            (_, Step::Offer) => Some(State::Offered),
+            (State::Offered, Step::Check) => Some(State::Checked),
+            (State::Checked | State::Suspended, Step::Enable) => Some(State::Active),
+            (State::Active | State::Suspended, Step::Disable) => Some(State::Checked),
+            (State::Active, Step::Suspend) => Some(State::Suspended),
+            _ => None,
+        }
+    }
+}
+
+/// What the state service holds of a plug-in beside its source.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PluginRecord {
+    /// Its name.
+    pub name: String,
+    /// What it is.
+    pub kind: Kind,
+    /// Where it stands.
+    pub state: State,
+    /// Counts the sources offered under its name.
+    pub version: u64,
+    /// SHA-256 of its source, in hexadecimal.
+    pub hash: String,
+    /// Order of precedence: the lower the stronger; among equals by name.
+    pub precedence: u32,
+    /// Chunks of its source in the state service.
+    pub chunks: u32,
+    /// Hooks that it has.
+    pub hooks: Vec<Hook>,
+    /// Why it is suspended.
+    #[serde(default)]
+    pub reason: Option<String>,
+    /// Time of day of the latest change, ms since the epoch.
+    pub changed_wall: u64,
+}
+
+impl PluginRecord {
+    /// Takes a step. False if it does not apply.
+    pub fn advance(&mut self, step: Step, wall: u64) -> bool {
+        let Some(state) = self.state.after(step) else { return false };
+        self.state = state;
+        self.changed_wall = wall;
+        if step != Step::Suspend {
+            self.reason = None;
+        }
+        true
+    }
+}
+
+/// A plug-in as it is offered.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// What it is.
+    pub kind: Kind,
+    /// Its source: functions, or the TOML of a report hook.
+    pub source: String,
+    /// Order of precedence.
+    #[serde(default = "usual_precedence")]
+    pub precedence: u32,
+    /// Whether it is switched on at once.
+    #[serde(default)]
+    pub enable: bool,
+}
+
+fn usual_precedence() -> u32 {
+    PRECEDENCE
+}
+
+/// Whether a text may name a plug-in: lower-case letters, digits and dashes.
+pub fn valid_name(name: &str) -> bool {
+    let good = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    !name.is_empty() && name.len() <= NAME_MOST && name.bytes().all(good)
+}
+
+/// SHA-256 of a source, in hexadecimal.
+pub fn hash(source: &str) -> String {
+    hex::encode(Sha256::digest(source.as_bytes()))
+}
+
+/// A source in parts of at most that many bytes each, cut between characters.
+pub fn chunks(source: &str, most: usize) -> Vec<&str> {
+    let mut rest = source;
+    let mut parts = Vec::new();
+    while !rest.is_empty() {
+        let mut end = rest.len().min(most.max(4));
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (part, more) = rest.split_at(end);
+        parts.push(part);
+        rest = more;
+    }
+    parts
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,9 +15,11 @@
 use std::sync::Arc;
 use swiftsail_core::cloud;
 use swiftsail_core::job::{Kind, Priority, Spec};
-use swiftsail_core::node::{Action, Ask, Event, Node, Now, Reply};
+use swiftsail_core::node::{Action, AdminAsk, Ask, Event, Node, Now, Reply};
 use swiftsail_core::settings::Settings;
 use swiftsail_core::store::{Call, Outcome};
+use swiftsail_policy::operator::Operator;
+use swiftsail_policy::outbox::Delivery;
 use swiftsail_wire as wire;
 use swiftsail_wire::controllers::Beat;
 use swiftsail_wire::workers::{Direct, Orders, Report};
@@ -125,12 +127,14 @@
     UserReply(usize, u8, u64, Option<Reply>),
     Restart(usize),
     Crash(usize),
+    Admin(usize, u64, Box<AdminAsk>),
 }
 
 enum Asker {
     Relay(usize, u64, u64),
     Worker(String, u64, u64),
     User(usize, u8, u64),
+    Admin(u64),
 }
 
 /// How rough the weather is.
@@ -167,6 +171,12 @@
     pub done_tasks: BTreeSet<String>,
     pub started: u64,
     version: u64,
+    /// What report hooks were sent.
+    pub delivered: Vec<Delivery>,
+    /// The operators' file of every node that starts.
+    pub operator: Operator,
+    /// Answers to operators, with the numbers of their requests.
+    pub answers: BTreeMap<u64, Reply>,
     /// Rules broken, in words.
     pub broken: Vec<String>,
 }
@@ -193,6 +203,9 @@
             done_tasks: BTreeSet::new(),
             started: 0,
             version: 0,
+            delivered: Vec::new(),
+            operator: Operator::default(),
+            answers: BTreeMap::new(),
             broken: Vec::new(),
             rng: StdRng::seed_from_u64(seed ^ 0xabcd),
         };
@@ -255,6 +268,14 @@
         self.at(at, Ev::User(self.jobs.len() - 1, 0));
     }
 
+    /// An operator asks a controller something at a time. Returns the number of the answer.
+    pub fn ask(&mut self, at_ms: u64, node: usize, ask: AdminAsk) -> u64 {
+        self.next_request += 1;
+        let id = self.next_request;
+        self.at(BEGIN + at_ms, Ev::Admin(node, id, Box::new(ask)));
+        id
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, until_ms: u64) {
         while let Some(Reverse((time, _, _))) = self.queue.peek() {
@@ -313,6 +334,9 @@
                     let reply = (!self.lost()).then_some(reply);
                     self.at(at, Ev::UserReply(job, what, sent, reply));
                 }
+                Some(Asker::Admin(id)) => {
+                    self.answers.insert(id, reply);
+                }
                 None => {}
             },
             Action::Store(id, call) => self.at(at, Ev::StoreCall(n, life, id, call)),
@@ -330,6 +354,14 @@
                 }
                 self.at(at, Ev::Relay(n, life, id, other, report));
             }
+            Action::Deliver(delivery) => {
+                let taken = !self.lost();
+                if taken {
+                    self.delivered.push(delivery.clone());
+                }
+                let event = Box::new(Event::Delivered(delivery.plugin, taken));
+                self.at(at, Ev::ToNode(n, life, event));
+            }
             Action::Beat(beat) => {
                 for other in (0..NODES).filter(|o| *o != n) {
                     if !self.lost() {
@@ -351,7 +383,8 @@
             Ev::Restart(n) => {
                 self.lives[n] += 1;
                 let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
-                self.nodes[n] = Some(Node::new(settings(n), self.rng.random(), now));
+                let node = Node::operated(settings(n), &self.operator, self.rng.random(), now);
+                self.nodes[n] = Some(node);
                 self.at(self.now, Ev::Tick(n, self.lives[n]));
             }
             Ev::Crash(n) => {
@@ -428,6 +461,13 @@
                     _ => worker.redirected(sent, harbor.harbor.as_deref(), now),
                 }
             }
+            Ev::Admin(n, id, ask) => {
+                let life = self.lives[n];
+                self.next_request += 1;
+                let request = self.next_request;
+                self.askers.insert((n, life, request), Asker::Admin(id));
+                self.handle(n, life, Event::Admin(request, *ask));
+            }
             Ev::User(job, what) => self.user(job, what),
             Ev::UserReply(job, what, sent, reply) => self.user_reply(job, what, sent, reply),
         }
--- a/crates/wire/src/controllers.rs
+++ b/crates/wire/src/controllers.rs
@@ -24,4 +24,8 @@
     /// Of the leader: counts for display, as (job, done, running).
     #[serde(default)]
     pub counts: Vec<(String, u32, u32)>,
+    /// Of the leader, where plug-ins advise on admission: attributes of the cluster, in the order in
+    /// which they are documented.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cluster: Vec<f64>,
 }
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -14,3 +14,9 @@
 pub const RESPONSE_MOST: usize = 16 << 20;
 /// Messages that the actor's mailbox holds (memory).
 pub const MAILBOX_MOST: usize = 1024;
+/// Largest body that operators may send, bytes: a plug-in's source in JSON.
+pub const ADMIN_BODY_MOST: usize = 128 * 1024;
+/// Connections of operators at once.
+pub const ADMIN_CONNECTIONS: usize = 32;
+/// Exit status when a file, an argument or an answer refuses what was asked.
+pub const STATUS_REFUSED: u8 = 2;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -8,9 +8,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use swiftsail_core::constants::*;
-use swiftsail_core::node::{Action, Ask, Event, Node, Now, Reply, RequestId};
+use swiftsail_core::node::{Action, AdminAsk, Ask, Event, Node, Now, Reply, RequestId};
 use swiftsail_core::settings::Settings;
 use swiftsail_core::{cloud, store};
+use swiftsail_policy::constants::HOOK_TIMEOUT_MS;
+use swiftsail_policy::operator::Operator;
+use swiftsail_policy::outbox::Delivery;
 use swiftsail_wire::cloud as cloud_wire;
 use swiftsail_wire::controllers::{self as controllers_wire, Beat};
 use swiftsail_wire::state as state_wire;
@@ -40,6 +43,8 @@
     User(Ask),
     /// By a worker; the flag tells that another controller has passed it on.
     Report(Box<Report>, bool),
+    /// By an operator.
+    Admin(AdminAsk),
 }
 
 /// A heartbeat that came in; answered with our own.
@@ -53,9 +58,10 @@
 
 impl Controller {
     /// A controller ready to start.
-    pub fn new(settings: Arc<Settings>, seed: u64) -> Controller {
+    pub fn new(settings: Arc<Settings>, operator: &Operator, seed: u64) -> Controller {
         let begin = Instant::now();
-        let node = Node::new(settings.clone(), seed, Now { steady: STEADY_BEGIN_MS, wall: wall() });
+        let now = Now { steady: STEADY_BEGIN_MS, wall: wall() };
+        let node = Node::operated(settings.clone(), operator, seed, now);
         let client = |timeout: u64| {
             Client::builder().disable_redirects().timeout(Duration::from_millis(timeout)).finish()
         };
@@ -138,6 +144,13 @@
                     to.do_send(Happened(Event::Relayed(id, reply)));
                 });
             }
+            Action::Deliver(delivery) => {
+                let client = self.client.clone();
+                actix::spawn(async move {
+                    let taken = deliver(&client, &delivery).await;
+                    to.do_send(Happened(Event::Delivered(delivery.plugin, taken)));
+                });
+            }
             Action::Beat(beat) => {
                 let body = write(&beat);
                 for other in &self.settings.others {
@@ -177,6 +190,7 @@
         let event = match msg.0 {
             Asked::User(ask) => Event::User(id, ask),
             Asked::Report(report, relayed) => Event::Report(id, report, relayed),
+            Asked::Admin(ask) => Event::Admin(id, ask),
         };
         self.happen(event, ctx);
         Box::pin(async move { waits.await.unwrap_or_else(|_| Reply::later("this node is ending")) })
@@ -330,3 +344,14 @@
     // 409 carries a report too: it may show a newer token or session.
     if status == 200 || status == 409 { read(&bytes).ok() } else { None }
 }
+
+/// Delivers events to a report hook. True if the receiver has taken them.
+async fn deliver(client: &Client, delivery: &Delivery) -> bool {
+    let url = format!("http://{}{}", delivery.to, delivery.path);
+    let sent = client
+        .post(url)
+        .timeout(Duration::from_millis(HOOK_TIMEOUT_MS))
+        .insert_header(("Content-Type", "application/json"))
+        .send_body(delivery.body.clone());
+    sent.await.is_ok_and(|response| response.status().is_success())
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -15,10 +15,11 @@
 use swiftsail_wire::users::Problem;
 use swiftsail_wire::{controllers, read, users, workers, write};
 
-fn respond(reply: Reply) -> HttpResponse {
+/// A reply as an answer in a format.
+pub fn respond(reply: Reply, format: &str) -> HttpResponse {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
-    response.insert_header(("Content-Type", "application/msgpack"));
+    response.insert_header(("Content-Type", format));
     if let Some(after) = reply.retry_after {
         response.insert_header(("Retry-After", after.to_string()));
     }
@@ -27,11 +28,14 @@
 
 async fn ask(to: &Addr<Controller>, ask: Asked) -> HttpResponse {
     match to.send(Incoming(ask)).await {
-        Ok(reply) => respond(reply),
-        Err(_) => respond(Reply::later("this node is ending")),
+        Ok(reply) => respond(reply, FORMAT),
+        Err(_) => respond(Reply::later("this node is ending"), FORMAT),
     }
 }
 
+/// Format of the protocol's bodies.
+const FORMAT: &str = "application/msgpack";
+
 type Node = web::Data<Addr<Controller>>;
 type Body = Result<web::Bytes, actix_web::Error>;
 
@@ -65,7 +69,7 @@
     };
     match read::<workers::Report>(&body) {
         Ok(report) => ask(&to, Asked::Report(Box::new(report), relayed)).await,
-        Err(e) => respond(Reply::new(400, &Problem { error: e.to_string() })),
+        Err(e) => respond(Reply::new(400, &Problem { error: e.to_string() }), FORMAT),
     }
 }
 
@@ -104,7 +108,7 @@
 }
 
 fn unread(err: &actix_web::Error) -> HttpResponse {
-    respond(Reply::new(400, &Problem { error: format!("the body cannot be read: {err}") }))
+    respond(Reply::new(400, &Problem { error: format!("the body cannot be read: {err}") }), FORMAT)
 }
 
 /// Serves both listeners until the process ends.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admin;
 pub mod constants;
 pub mod controller;
 pub mod front;
+pub mod logging;
 pub mod program;
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,16 +1,18 @@
 //! The command line.
 
+use crate::constants::*;
 use crate::controller::Controller;
+use crate::logging::{self, LogFormat};
+use crate::{admin, front};
 use actix::Actor;
 use clap::{Parser, Subcommand};
-use std::path::PathBuf;
+use std::error::Error;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use swiftsail_core::settings::Settings;
-use tracing::level_filters::LevelFilter;
-
-/// Variable that says how much is logged.
-const LOG_LEVEL: &str = "LOG_LEVEL";
+use swiftsail_policy::operator::Operator;
 
 /// A cluster scheduler that places work by its chance of meeting its deadline.
 #[derive(Debug, Parser)]
@@ -21,83 +23,85 @@
     args_conflicts_with_subcommands = true
 )]
 struct Args {
-    /// Run a controller with this settings file
+    /// Run a controller with this settings file, the platform's
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// The operators' file, which holds policy, plug-ins and the operators' listener
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// Form of the log, which goes to standard error
+    #[arg(long, value_enum, default_value_t, value_name = "FORM")]
+    log_format: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Check a settings file without running
+    /// Check a settings file, or an operators' file, without running
     Check {
-        /// The settings file
+        /// The settings file, the platform's
+        #[arg(long, value_name = "FILE", required_unless_present = "operator")]
+        config: Option<PathBuf>,
+        /// The operators' file
         #[arg(long, value_name = "FILE")]
-        config: PathBuf,
+        operator: Option<PathBuf>,
     },
 }
 
 /// Runs the program.
 pub fn main() -> ExitCode {
     let args = Args::parse();
-    match (args.command, args.config) {
-        (Some(Command::Check { config }), _) => match Settings::load(&config) {
-            Ok(settings) => {
-                use std::io::Write;
-                // A closed pipe is no reason to complain.
-                let _ = writeln!(std::io::stdout(), "{}: settings are sound", settings.host_name);
-                ExitCode::SUCCESS
-            }
-            Err(e) => fail(&e.to_string()),
-        },
-        (None, Some(config)) => match Settings::load(&config) {
-            Ok(settings) => run(settings),
-            Err(e) => fail(&e.to_string()),
-        },
-        (None, None) => fail("nothing to do; give --config FILE, or --help for more"),
+    let outcome = match (args.command, args.config) {
+        (Some(Command::Check { config, operator }), _) => check(config, operator),
+        (None, Some(config)) => {
+            logging::start(args.log_format);
+            run(&config, args.operator.as_deref())
+        }
+        (None, None) => Err("nothing to do; give --config FILE, or --help for more".into()),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("swiftsail: {why}");
+            ExitCode::from(STATUS_REFUSED)
+        }
     }
 }
 
-fn fail(why: &str) -> ExitCode {
-    eprintln!("swiftsail: {why}");
-    ExitCode::from(2)
-}
-
-fn start_log() {
-    let asked = std::env::var(LOG_LEVEL).unwrap_or_default();
-    let level = match asked.as_str() {
-        "error" => Some(LevelFilter::ERROR),
-        "" | "info" => Some(LevelFilter::INFO),
-        "debug" => Some(LevelFilter::DEBUG),
-        _ => None,
-    };
-    let own = tracing_subscriber::fmt()
-        .with_max_level(level.unwrap_or(LevelFilter::INFO))
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .without_time()
-        .finish();
-    // Only fails if a log is set up already, which then serves.
-    let _ = tracing::subscriber::set_global_default(own);
-    if level.is_none() {
-        tracing::warn!(level = %asked, "{LOG_LEVEL} is none of error, info, debug: info is used");
+fn check(config: Option<PathBuf>, operator: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+    // A closed pipe is no reason to complain.
+    let mut out = std::io::stdout();
+    if let Some(file) = config {
+        let settings = Settings::load(&file)?;
+        let _ = writeln!(out, "{}: settings are sound", settings.host_name);
     }
+    if let Some(file) = operator {
+        Operator::load(&file)?;
+        let _ = writeln!(out, "{}: the operators' file is sound", file.display());
+    }
+    Ok(())
 }
 
-fn run(settings: Settings) -> ExitCode {
-    start_log();
+fn run(config: &Path, operator: Option<&Path>) -> Result<(), Box<dyn Error>> {
+    let settings = Arc::new(Settings::load(config)?);
+    let operator = operator.map(Operator::load).transpose()?.unwrap_or_default();
     tracing::info!(node = %settings.host_name, site = %settings.site, front = %settings.front, "starting");
     let seed = rand::random();
-    let result = actix::System::new().block_on(async move {
-        let settings = Arc::new(settings);
-        let controller = Controller::new(settings.clone(), seed).start();
-        crate::front::serve(&settings, controller).await
-    });
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            fail(&format!("cannot listen: {e}; check that `front` and `cluster_listen` are free"))
+    let served = actix::System::new().block_on(async move {
+        let controller = Controller::new(settings.clone(), &operator, seed).start();
+        if let Some(listen) = operator.admin.listen {
+            let to = controller.clone();
+            actix::spawn(async move {
+                // Without it the service goes on: operators are not what it is for.
+                if let Err(e) = admin::serve(listen, to).await {
+                    tracing::error!(%listen, cause = %e, "operators cannot be served: free the address");
+                }
+            });
         }
-    }
+        front::serve(&settings, controller).await
+    });
+    served.map_err(|e| {
+        format!("cannot listen: {e}; check that `front` and `cluster_listen` are free").into()
+    })
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -89,7 +89,7 @@
 fn a_controller_that_lost_the_leader_does_not_name_it_to_its_own_zone() {
     let mut now = Now { steady: standin::BEGIN, wall: 1_000_000 };
     let mut node = Node::new(standin::settings(1), 7, now);
-    let beat = Beat { node: "n0".into(), token: 9, leads: true, store_age_ms: 0, counts: vec![] };
+    let beat = Beat { node: "n0".into(), token: 9, leads: true, ..Beat::default() };
     node.handle(Event::Beat(beat), now);
     node.take_actions();
     let answer = |node: &mut Node, berth: &str, dock: &str, now: Now| {
