--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -127,36 +127,41 @@
     pub uncertain: bool,
 }
 
-/// Tokens that fill at a rate, up to one second's worth.
+/// Tokens that fill at a rate, up to a burst.
 #[derive(Debug)]
 pub struct Bucket {
     rate: f64,
+    most: f64,
     held: f64,
     at: Time,
 }
 
 impl Bucket {
-    /// A full bucket.
+    /// A full bucket that holds one second's worth.
     pub fn new(rate: f64, now: Time) -> Bucket {
-        Bucket { rate, held: rate.max(1.0), at: now }
+        Bucket::lasting(rate, 1.0, now)
+    }
+    /// A full bucket that holds so many seconds' worth.
+    pub fn lasting(rate: f64, seconds: f64, now: Time) -> Bucket {
+        let most = (rate * seconds).max(1.0);
+        Bucket { rate, most, held: most, at: now }
     }
     /// Changes the rate.
     pub fn set_rate(&mut self, rate: f64, now: Time) {
         self.fill(now);
-        self.rate = rate;
-        self.held = self.held.min(rate.max(1.0));
+        (self.rate, self.most) = (rate, rate.max(1.0));
+        self.held = self.held.min(self.most);
     }
     fn fill(&mut self, now: Time) {
         let passed = now.saturating_sub(self.at) as f64 / MS_PER_S;
-        self.held = (self.held + passed * self.rate).min(self.rate.max(1.0));
+        self.held = (self.held + passed * self.rate).min(self.most);
         self.at = now;
     }
     /// Whether that many may be taken now, leaving `spare` for more urgent ones. More than the
     /// bucket can ever hold passes when it is full, and leaves a debt.
     pub fn can(&mut self, wanted: f64, spare: f64, now: Time) -> bool {
         self.fill(now);
-        let most = self.rate.max(1.0);
-        self.held + 1e-9 >= (wanted + spare).min(most)
+        self.held + 1e-9 >= (wanted + spare).min(self.most)
     }
     /// Takes them.
     pub fn take(&mut self, wanted: f64) {
--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,848 @@
+//! A world in simulated time: the stand-ins around the pure cores of three controllers, and users;
+//! with crashes, delays, duplicates and lost answers. The protocol's rules are checked after every
+//! step. Every choice comes from one seed.
+
+use crate::cloud::Offered;
+use crate::constants::*;
+use crate::plant::Plant;
+use crate::store::{Committed, Store};
+use crate::worker::Worker;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::sync::Arc;
+use swiftsail_core::cloud;
+use swiftsail_core::job::{Kind, Priority, Spec};
+use swiftsail_core::node::{Action, AdminAsk, Ask, Event, Node, Now, Reply};
+use swiftsail_core::settings::{Settings, State};
+use swiftsail_core::store::{Call, Outcome};
+use swiftsail_policy::operator::Operator;
+use swiftsail_policy::outbox::Delivery;
+use swiftsail_wire as wire;
+use swiftsail_wire::cloud::{Berths, Hull};
+use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::workers::{Direct, Orders, Report};
+
+/// Where the steady clock of the stand-in begins.
+pub const BEGIN: u64 = 1_000_000_000;
+const NODES: usize = 3;
+/// Time between two looks at a machine, ms.
+const STEP_MS: u64 = 200;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// Settings of the stand-in's deployment, for a node.
+pub fn settings(node: usize) -> Arc<Settings> {
+    let others: Vec<String> = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| {
+            format!(
+                "[[others]]\nhost_name = \"n{n}\"\nsite = \"a\"\naddress = \"127.0.0.1:{}\"\n",
+                7000 + n
+            )
+        })
+        .collect();
+    let text = format!(
+        "host_name = \"n{node}\"\nsite = \"a\"\nfront = \"127.0.0.1:{}\"\ncluster_listen = \"127.0.0.1:{}\"\n\
+         future = 1\n{}\
+         [endpoints]\ncloud = \"127.0.0.1:1\"\nstate = \"127.0.0.1:2\"\n\
+         [settings]\nzones = [\"a\",\"b\",\"c\"]\nclock_off_ms = 20.0\n\
+         [[settings.teams]]\nname = \"red\"\ncpus = 10.0\ncpus_max = 40.0\n\
+         [[settings.teams]]\nname = \"blue\"\n\
+         [settings.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 30.0\ngang_peer_s = 4.0\ncancel_s = 35.0\n\
+         [settings.state]\nrps = 150.0\nwrite_rps = 40.0\nvalue_kb = 8.0\ntxn_ops = 16\n\
+         [settings.cloud]\nrps = 4.0\nlist_lag_s = 5.0\n\
+         [settings.machine_limits]\ncores = 0.1\nmem_mb = 40.0\nmax_connections = 500\n",
+        6000 + node,
+        7000 + node,
+        others.concat(),
+    );
+    Arc::new(Settings::parse("stand-in", &text).expect("the stand-in's settings are sound"))
+}
+
+/// What a job of a kind asks for: the class is named after the kind.
+pub fn spec(kind: Kind, tasks: u32, cpus: f64, image: &str) -> Spec {
+    Spec {
+        class: format!("{kind:?}"),
+        team: "blue".into(),
+        kind,
+        priority: if kind == Kind::Service { Priority::Production } else { Priority::Normal },
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 0.5,
+        image: image.into(),
+        image_gb: 0.1,
+        types: None,
+        zone: None,
+        one_zone: kind == Kind::Gang,
+        spread: false,
+        spot: kind != Kind::Service,
+        estimate_s: 30.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: (kind == Kind::Array).then_some(600.0),
+    }
+}
+
+/// A job as its user sees it.
+pub struct UserJob {
+    pub id: String,
+    pub body: Value,
+    pub at: u64,
+    pub cancel_at: Option<u64>,
+    pub accepted: bool,
+    pub last: Option<String>,
+    pub told_cancelled: Option<u64>,
+    poll_open: Option<u64>,
+    final_at: u64,
+}
+
+impl UserJob {
+    pub fn text(&self, field: &str) -> &str {
+        self.body[field].as_str().unwrap_or("")
+    }
+    pub fn number(&self, field: &str) -> f64 {
+        self.body[field].as_f64().unwrap_or(0.0)
+    }
+    pub fn tasks(&self) -> u32 {
+        self.body["shards"].as_u64().unwrap_or(0) as u32
+    }
+    pub fn over(&self) -> bool {
+        matches!(self.last.as_deref(), Some("done" | "withdrawn"))
+    }
+}
+
+#[derive(Debug)]
+enum Ev {
+    Tick(usize, u64),
+    ToNode(usize, u64, Box<Event>),
+    StoreCall(usize, u64, u64, Call),
+    CloudCall(usize, u64, Box<cloud::Call>),
+    Direct(usize, u64, String, Box<Direct>),
+    Beat(usize, u64, usize, Beat),
+    WorkerStep(String),
+    Relay(usize, u64, u64, usize, Box<Report>),
+    Report(usize, Box<Report>, u64),
+    Orders(String, u64, u64, Option<Box<Reply>>),
+    User(usize, u8),
+    UserReply(usize, u8, u64, Option<Reply>),
+    Restart(usize),
+    Crash(usize),
+    Admin(usize, u64, Box<AdminAsk>),
+}
+
+enum Asker {
+    Relay(usize, u64, u64),
+    Worker(String, u64, u64),
+    User(usize, u8, u64),
+    Admin(u64),
+}
+
+/// How rough the weather is.
+#[derive(Debug, Clone, Copy)]
+pub struct Weather {
+    /// Chance that a message or its answer is lost.
+    pub loss: f64,
+    /// Chance that a message is delivered many seconds late.
+    pub late: f64,
+    /// Crashes of a controller, in all.
+    pub crashes: u32,
+    /// Times the state service is away, and hangs of machines, in all.
+    pub outages: u32,
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    rng: StdRng,
+    pub nodes: Vec<Option<Node>>,
+    lives: [u64; NODES],
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: HashMap<usize, Ev>,
+    seq: u64,
+    pub store: Store,
+    /// Watches: node, life, call, prefix, revision, end.
+    follows: Vec<(usize, u64, u64, String, u64, u64)>,
+    /// Cloud, machines and their work.
+    pub plant: Plant,
+    pub jobs: Vec<UserJob>,
+    askers: HashMap<(usize, u64, u64), Asker>,
+    next_request: u64,
+    weather: Weather,
+    away: Vec<(u64, u64)>,
+    calm_from: u64,
+    version: u64,
+    /// What report hooks were sent.
+    pub delivered: Vec<Delivery>,
+    /// The operators' file of every node that starts.
+    pub operator: Operator,
+    /// Answers to operators, with the numbers of their requests.
+    pub answers: BTreeMap<u64, Reply>,
+    /// Rules broken, in words.
+    pub broken: Vec<String>,
+}
+
+impl World {
+    pub fn new(seed: u64, weather: Weather, calm_after_ms: u64) -> World {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut world = World {
+            now: BEGIN,
+            nodes: Vec::new(),
+            lives: [0; NODES],
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            seq: 0,
+            store: Store::new(free_limits(), BEGIN),
+            follows: Vec::new(),
+            plant: Plant::new(offered(), settings(0).settings.clone(), NODES, 1.0, seed, BEGIN),
+            jobs: Vec::new(),
+            askers: HashMap::new(),
+            next_request: 1,
+            weather,
+            away: Vec::new(),
+            calm_from: BEGIN + calm_after_ms,
+            version: 0,
+            delivered: Vec::new(),
+            operator: Operator::default(),
+            answers: BTreeMap::new(),
+            broken: Vec::new(),
+            rng: StdRng::seed_from_u64(seed ^ 0xabcd),
+        };
+        for n in 0..NODES {
+            world.nodes.push(None);
+            world.at(BEGIN + n as u64, Ev::Restart(n));
+        }
+        for _ in 0..weather.crashes {
+            let at = BEGIN + rng.random_range(3_000..calm_after_ms);
+            world.at(at, Ev::Crash(rng.random_range(0..NODES)));
+        }
+        for _ in 0..weather.outages {
+            let at = BEGIN + rng.random_range(3_000..calm_after_ms);
+            world.away.push((at, at + rng.random_range(2_000..15_000)));
+        }
+        world
+    }
+
+    fn at(&mut self, time: u64, ev: Ev) {
+        self.seq += 1;
+        self.events.insert(self.seq as usize, ev);
+        self.queue.push(Reverse((time.max(self.now), self.seq, self.seq as usize)));
+    }
+
+    fn calm(&self) -> bool {
+        self.now >= self.calm_from
+    }
+
+    fn lost(&mut self) -> bool {
+        !self.calm() && self.rng.random_bool(self.weather.loss)
+    }
+
+    fn delay(&mut self) -> u64 {
+        if !self.calm() && self.rng.random_bool(self.weather.late) {
+            return self.rng.random_range(2_000..20_000);
+        }
+        self.rng.random_range(1..15)
+    }
+
+    fn store_away(&self) -> bool {
+        self.away.iter().any(|(from, to)| (*from..*to).contains(&self.now))
+    }
+
+    /// A user submits a job at a time, and cancels it later if told to.
+    pub fn submit(&mut self, at_ms: u64, cancel_ms: Option<u64>, body: Value) {
+        let at = BEGIN + at_ms;
+        let id = body["name_id"].as_str().expect("a job has an id").to_string();
+        let cancel_at = cancel_ms.map(|c| BEGIN + c);
+        let packed = rmp_serde::to_vec_named(&body).expect("JSON packs");
+        let read = wire::users::read_submission(&packed).expect("the stand-in's jobs are sound");
+        if let Ok(spec) = read.spec {
+            self.plant.describe(&id, spec, true);
+        }
+        self.jobs.push(UserJob {
+            id,
+            body,
+            at,
+            cancel_at,
+            accepted: false,
+            last: None,
+            told_cancelled: None,
+            poll_open: None,
+            final_at: 0,
+        });
+        self.at(at, Ev::User(self.jobs.len() - 1, 0));
+    }
+
+    /// An operator asks a controller something at a time. Returns the number of the answer.
+    pub fn ask(&mut self, at_ms: u64, node: usize, ask: AdminAsk) -> u64 {
+        self.next_request += 1;
+        let id = self.next_request;
+        self.at(BEGIN + at_ms, Ev::Admin(node, id, Box::new(ask)));
+        id
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, until_ms: u64) {
+        while let Some(Reverse((time, _, _))) = self.queue.peek() {
+            if *time > BEGIN + until_ms {
+                break;
+            }
+            let Some(Reverse((time, _, key))) = self.queue.pop() else { break };
+            self.now = time;
+            if let Some(ev) = self.events.remove(&key) {
+                // Only these change what is on a machine, or what its user was told.
+                let matters = matches!(
+                    ev,
+                    Ev::WorkerStep(_) | Ev::Orders(..) | Ev::Direct(..) | Ev::UserReply(..)
+                );
+                let before = (self.version, self.plant.version);
+                self.step(ev);
+                if matters && before != (self.version, self.plant.version) {
+                    self.check();
+                }
+            }
+        }
+        self.now = BEGIN + until_ms;
+    }
+
+    fn handle(&mut self, n: usize, life: u64, event: Event) {
+        if self.lives[n] != life {
+            return;
+        }
+        let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now + n as u64 * 7 };
+        let Some(node) = self.nodes[n].as_mut() else { return };
+        node.handle(event, now);
+        loop {
+            let actions = self.nodes[n].as_mut().map(Node::take_actions).unwrap_or_default();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.act(n, life, action);
+            }
+        }
+    }
+
+    fn act(&mut self, n: usize, life: u64, action: Action) {
+        let at = self.now + self.delay();
+        match action {
+            Action::Reply(id, reply) => match self.askers.remove(&(n, life, id)) {
+                Some(Asker::Worker(name, watch, sent)) => {
+                    let reply = (!self.lost()).then(|| Box::new(reply));
+                    self.at(at, Ev::Orders(name, watch, sent, reply));
+                }
+                Some(Asker::Relay(to, to_life, to_id)) => {
+                    let event = Box::new(Event::Relayed(to_id, Some(reply)));
+                    self.at(at, Ev::ToNode(to, to_life, event));
+                }
+                Some(Asker::User(job, what, sent)) => {
+                    let reply = (!self.lost()).then_some(reply);
+                    self.at(at, Ev::UserReply(job, what, sent, reply));
+                }
+                Some(Asker::Admin(id)) => {
+                    self.answers.insert(id, reply);
+                }
+                None => {}
+            },
+            Action::Store(id, call) => self.at(at, Ev::StoreCall(n, life, id, call)),
+            Action::Cloud(call) => self.at(at + 100, Ev::CloudCall(n, life, Box::new(call))),
+            Action::Direct(addr, direct) => {
+                if !self.lost() {
+                    self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
+                }
+            }
+            Action::Relay(id, leader, report) => {
+                let other = leader.trim_start_matches('n').parse().unwrap_or(0);
+                if self.lost() {
+                    let event = Box::new(Event::Relayed(id, None));
+                    return self.at(self.now + 2_500, Ev::ToNode(n, life, event));
+                }
+                self.at(at, Ev::Relay(n, life, id, other, report));
+            }
+            Action::Deliver(delivery) => {
+                let taken = !self.lost();
+                if taken {
+                    self.delivered.push(delivery.clone());
+                }
+                let event = Box::new(Event::Delivered(delivery.plugin, taken));
+                self.at(at, Ev::ToNode(n, life, event));
+            }
+            Action::Beat(beat) => {
+                for other in (0..NODES).filter(|o| *o != n) {
+                    if !self.lost() {
+                        self.at(at, Ev::Beat(n, life, other, beat.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick(n, life) => {
+                if self.lives[n] == life && self.nodes[n].is_some() {
+                    self.handle(n, life, Event::Tick);
+                    self.at(self.now + 100, Ev::Tick(n, life));
+                }
+            }
+            Ev::Restart(n) => {
+                self.lives[n] += 1;
+                let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
+                let node = Node::operated(settings(n), &self.operator, self.rng.random(), now);
+                self.nodes[n] = Some(node);
+                self.at(self.now, Ev::Tick(n, self.lives[n]));
+            }
+            Ev::Crash(n) => {
+                self.nodes[n] = None;
+                self.lives[n] += 1;
+                let at = self.now + self.rng.random_range(2_000..6_000);
+                self.at(at, Ev::Restart(n));
+            }
+            Ev::ToNode(n, life, event) => self.handle(n, life, *event),
+            Ev::Beat(from, life, to, beat) => {
+                self.handle(to, self.lives[to], Event::Beat(beat));
+                if let Some(ours) = self.nodes[to].as_ref().map(Node::beat) {
+                    let at = self.now + self.delay();
+                    self.at(at, Ev::ToNode(from, life, Box::new(Event::Beat(ours))));
+                }
+            }
+            Ev::StoreCall(n, life, id, call) => self.store_call(n, life, id, call),
+            Ev::CloudCall(n, life, call) => {
+                let outcome = if self.lost() {
+                    cloud::Outcome::Failed
+                } else {
+                    let outcome = self.cloud_call(&call);
+                    if self.lost() { cloud::Outcome::Failed } else { outcome }
+                };
+                let at = self.now + self.delay();
+                self.at(at, Ev::ToNode(n, life, Box::new(Event::Cloud(call, outcome))));
+            }
+            Ev::Direct(n, life, addr, direct) => {
+                let now = self.now;
+                let Some((_, report)) = self.plant.direct(&addr, &direct, now) else { return };
+                let at = self.now + self.delay();
+                if !self.lost() {
+                    self.at(at, Ev::ToNode(n, life, Box::new(Event::Answer(Box::new(report)))));
+                }
+            }
+            Ev::WorkerStep(name) => self.worker_step(&name),
+            Ev::Relay(from, from_life, from_id, to, report) => {
+                self.next_request += 1;
+                let (id, life) = (self.next_request, self.lives[to]);
+                self.askers.insert((to, life, id), Asker::Relay(from, from_life, from_id));
+                self.handle(to, life, Event::Report(id, report, true));
+            }
+            Ev::Report(n, report, sent) => {
+                let life = self.lives[n];
+                if self.nodes[n].is_none() {
+                    let (name, watch) = (report.berth.clone(), report.watch);
+                    return self.at(self.now + 1, Ev::Orders(name, watch, sent, None));
+                }
+                self.next_request += 1;
+                let id = self.next_request;
+                let asker = Asker::Worker(report.berth.clone(), report.watch, sent);
+                self.askers.insert((n, life, id), asker);
+                self.handle(n, life, Event::Report(id, report, false));
+            }
+            Ev::Orders(name, watch, sent, reply) => {
+                let now = self.now;
+                let Some(worker) = self.plant.workers.get_mut(&name) else { return };
+                let Some(reply) = reply else { return worker.unanswered(sent, now) };
+                let orders = (reply.status == 200).then(|| wire::read::<Orders>(&reply.body));
+                let harbor = wire::read::<wire::workers::Redirect>(&reply.body).unwrap_or_default();
+                match orders {
+                    Some(Ok(orders)) => self.plant.answered(&name, &orders, watch, sent, now),
+                    _ => {
+                        let to = harbor.harbor.and_then(|h| h.strip_prefix('n')?.parse().ok());
+                        worker.redirected(sent, to, now);
+                    }
+                }
+            }
+            Ev::Admin(n, id, ask) => {
+                let life = self.lives[n];
+                self.next_request += 1;
+                let request = self.next_request;
+                self.askers.insert((n, life, request), Asker::Admin(id));
+                self.handle(n, life, Event::Admin(request, *ask));
+            }
+            Ev::User(job, what) => self.user(job, what),
+            Ev::UserReply(job, what, sent, reply) => self.user_reply(job, what, sent, reply),
+        }
+    }
+
+    fn store_call(&mut self, n: usize, life: u64, id: u64, call: Call) {
+        let away = self.store_away();
+        if let Call::Follow { prefix, from } = &call {
+            self.follows.push((n, life, id, prefix.clone(), *from, self.now + 10_000));
+            return self.wake_follows();
+        }
+        let back = self.now + self.delay();
+        if away {
+            let event = Event::Store(id, Outcome::Refused);
+            return self.at(back, Ev::ToNode(n, life, Box::new(event)));
+        }
+        // Lost on the way, lost on the way back, or applied late after the caller gave up.
+        let fate = if self.calm() { 1.0 } else { self.rng.random_range(0.0..1.0) };
+        if fate < self.weather.loss {
+            let outcome = Event::Store(id, Outcome::Unknown);
+            self.at(self.now + 1_500, Ev::ToNode(n, life, Box::new(outcome)));
+            if fate < self.weather.loss / 2.0 && matches!(call, Call::Commit(_)) {
+                let at = self.now + self.rng.random_range(1..20_000);
+                // To a life that never was: applied, told to nobody.
+                return self.at(at, Ev::StoreCall(n, 0, 0, call));
+            }
+            return;
+        }
+        let outcome = self.serve(&call);
+        let lost = self.lost();
+        let (at, outcome) =
+            if lost { (self.now + 1_500, Outcome::Unknown) } else { (back, outcome) };
+        self.at(at, Ev::ToNode(n, life, Box::new(Event::Store(id, outcome))));
+        self.wake_follows();
+    }
+
+    /// The store's answer to a call.
+    fn serve(&mut self, call: &Call) -> Outcome {
+        let now = self.now;
+        self.store.expire(now, false);
+        match call {
+            Call::Get(key) => match self.store.get(key) {
+                Some(pair) => Outcome::Found(pair.clone()),
+                None => Outcome::Missing { epoch: self.store.epoch() },
+            },
+            // A small page, so that paging is exercised.
+            Call::List { prefix, from } => {
+                Outcome::Page(self.store.list(prefix, from.as_deref(), 7))
+            }
+            Call::Commit(commit) => match self.store.commit(commit) {
+                Committed::At(epoch) => Outcome::Committed(epoch),
+                Committed::Failed(keys) => Outcome::Conflict(keys),
+                Committed::NoGrant => Outcome::NoGrant,
+                Committed::Malformed(why) => Outcome::Malformed(why),
+            },
+            Call::Grant { ttl_ms } => match self.store.grant(*ttl_ms, now) {
+                Some(id) => Outcome::Granted(id),
+                None => Outcome::Malformed("no such time to live".into()),
+            },
+            Call::Extend(id) if self.store.extend(*id, now) => Outcome::Granted(*id),
+            Call::Extend(_) => Outcome::NoGrant,
+            Call::Follow { .. } => Outcome::Unknown,
+        }
+    }
+
+    fn cloud_call(&mut self, call: &cloud::Call) -> cloud::Outcome {
+        use cloud::{Call, Outcome};
+        let now = self.now;
+        match call {
+            Call::Types => Outcome::Types(self.plant.cloud.types(now)),
+            Call::Rent(rent) => {
+                let before: BTreeSet<String> = self.plant.workers.keys().cloned().collect();
+                let Some(names) = self.plant.rent(rent, now) else {
+                    return Outcome::Malformed("no such type".into());
+                };
+                for name in names.iter().filter(|n| !before.contains(*n)) {
+                    let at = self.plant.workers[name].up_at;
+                    if at < u64::MAX {
+                        self.at(at, Ev::WorkerStep(name.clone()));
+                    }
+                }
+                match names.is_empty() {
+                    true => Outcome::NoCapacity,
+                    false => Outcome::Rented(Berths { berths: names }),
+                }
+            }
+            Call::Return(names) => {
+                self.plant.gone(names, false, now);
+                Outcome::Returned
+            }
+            Call::List(from) => {
+                Outcome::Listed(self.plant.cloud.list(from.as_deref(), LIST_MOST, now))
+            }
+        }
+    }
+
+    fn wake_follows(&mut self) {
+        let mut ready = Vec::new();
+        let (store, now) = (&self.store, self.now);
+        self.follows.retain(|(n, life, id, prefix, from, until)| {
+            let outcome = match store.news(prefix, *from) {
+                Err(()) => Outcome::TooOld,
+                Ok(Some(news)) => Outcome::News(news),
+                Ok(None) if now >= *until => Outcome::News(store.no_news()),
+                Ok(None) => return true,
+            };
+            ready.push((*n, *life, *id, outcome));
+            false
+        });
+        for (n, life, id, outcome) in ready {
+            let at = self.now + self.delay();
+            self.at(at, Ev::ToNode(n, life, Box::new(Event::Store(id, outcome))));
+        }
+    }
+
+    fn worker_step(&mut self, name: &str) {
+        let now = self.now;
+        let paused = self.store_away();
+        let ended = self.store.expire(now, paused);
+        if ended || self.rng.random_bool(0.2) {
+            self.wake_follows();
+        }
+        let hang = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.0005);
+        let taken = !self.calm() && self.weather.outages > 0 && self.rng.random_bool(0.002);
+        let span = self.rng.random_range(2_000..15_000);
+        let Some(worker) = self.plant.workers.get_mut(name).filter(|w| !w.gone) else { return };
+        if hang {
+            worker.hang_until = now + span;
+        }
+        // Spot machines are taken, mostly with a notice.
+        if taken && worker.hardware.spot && worker.taken_at.is_none() {
+            worker.taken_at = Some(now + if hang { 0 } else { span });
+            worker.changed = true;
+        }
+        if let Some((node, report)) = self.plant.step(name, now) {
+            let at = self.now + self.delay();
+            if !self.lost() {
+                self.at(at, Ev::Report(node, Box::new(report), now));
+            }
+        }
+        if !self.plant.workers[name].gone {
+            self.at(now + STEP_MS, Ev::WorkerStep(name.to_string()));
+        }
+    }
+
+    // ---- users ---------------------------------------------------------------------------------
+
+    fn pick_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..NODES).filter(|n| self.nodes[*n].is_some()).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    fn user(&mut self, job: usize, what: u8) {
+        let Some(n) = self.pick_node() else {
+            return self.at(self.now + 1_000, Ev::User(job, what));
+        };
+        let id = self.jobs[job].id.clone();
+        let ask = match what {
+            0 => Ask::Submit(rmp_serde::to_vec_named(&self.jobs[job].body).expect("JSON packs")),
+            1 => Ask::Poll(id),
+            _ => Ask::Cancel(id),
+        };
+        if what == 1 {
+            self.jobs[job].poll_open = Some(self.now);
+        }
+        self.next_request += 1;
+        let request = self.next_request;
+        let life = self.lives[n];
+        self.askers.insert((n, life, request), Asker::User(job, what, self.now));
+        self.handle(n, life, Event::User(request, ask));
+        // A node that ends answers nobody.
+        self.at(self.now + 5_000, Ev::UserReply(job, what + 10, self.now, None));
+    }
+
+    fn user_reply(&mut self, job: usize, what: u8, sent: u64, reply: Option<Reply>) {
+        let now = self.now;
+        let j = &mut self.jobs[job];
+        // The guard against a silent node: only the first submission or a cancel needs it.
+        if what >= 10 {
+            let open = match what - 10 {
+                0 => !j.accepted,
+                1 => j.poll_open.is_some_and(|at| at + 5_000 <= now),
+                2 => j.told_cancelled.is_none() && !j.over(),
+                _ => false,
+            };
+            if open {
+                self.at(now, Ev::User(job, what - 10));
+            }
+            return;
+        }
+        // Its user has given up on a late answer; and an answer to what was asked before the
+        // final word came is no later word.
+        let late = now >= sent + if what == 1 { 2_000 } else { 5_000 };
+        let Some(reply) = reply.filter(|_| !late && sent >= j.final_at) else { return };
+        if what == 1 {
+            j.poll_open = None;
+        }
+        self.version += 1;
+        let body: Value = rmp_serde::from_slice(&reply.body).unwrap_or(Value::Null);
+        let status = body["status"].as_str().unwrap_or("").to_string();
+        match reply.status {
+            200 | 201 => {
+                let first = !j.accepted;
+                j.accepted = true;
+                if let Some(last) = &j.last
+                    && matches!(last.as_str(), "done" | "withdrawn")
+                    && *last != status
+                {
+                    self.broken.push(format!("went_back: {} from {last} to {status}", j.id));
+                }
+                if status == "withdrawn" {
+                    if j.cancel_at.is_none() {
+                        self.broken.push(format!("went_back: {} was not cancelled", j.id));
+                    }
+                    j.told_cancelled.get_or_insert(now);
+                }
+                if status == "done" {
+                    let id = j.id.clone();
+                    let all =
+                        (0..j.tasks()).all(|t| self.plant.done.contains(&format!("{id}/{t}")));
+                    if !all {
+                        self.broken.push(format!("not_done: {id}"));
+                    }
+                }
+                let j = &mut self.jobs[job];
+                j.last = Some(status);
+                if j.over() && j.final_at == 0 {
+                    j.final_at = now;
+                }
+                let cancel = j.cancel_at.filter(|_| first);
+                if first {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                    if let Some(at) = cancel {
+                        self.at(at, Ev::User(job, 2));
+                    }
+                } else if what == 1 && !self.jobs[job].over() {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                }
+            }
+            400 | 404 | 422 if j.accepted => {
+                self.broken.push(format!("forgotten: {} got {}", j.id, reply.status));
+            }
+            404 | 400 | 422 => {}
+            _ => {
+                let at = now + self.rng.random_range(1_000..3_000);
+                let poll_over = what == 1 && self.jobs[job].over();
+                if !poll_over && (what != 0 || !self.jobs[job].accepted) {
+                    self.at(at, Ev::User(job, what));
+                }
+            }
+        }
+    }
+
+    // ---- the rules -----------------------------------------------------------------------------
+
+    /// Checks every rule on what is on the machines now.
+    pub fn check(&mut self) {
+        let mut seen: HashMap<&str, &str> = HashMap::new();
+        let mut red = 0.0;
+        let mut zones: HashMap<&str, BTreeMap<&str, u32>> = HashMap::new();
+        let jobs: HashMap<&str, &UserJob> = self.jobs.iter().map(|j| (j.id.as_str(), j)).collect();
+        let mut found = Vec::new();
+        for worker in self.plant.workers.values().filter(|w| !w.gone) {
+            for task in worker.tasks.iter().filter(|t| t.on_machine()) {
+                let id = task.name.split('/').next().unwrap_or("");
+                if let Some(other) = seen.insert(&task.name, &worker.name) {
+                    found.push(format!("ran_twice: {} on {other} and {}", task.name, worker.name));
+                }
+                let Some(job) = jobs.get(id) else { continue };
+                if job.text("crew") == "red" {
+                    red += job.number("cpus");
+                }
+                if worker.hardware.spot && !job.body["driftwood"].as_bool().unwrap_or(false)
+                    || job.body["dock"].as_str().is_some_and(|z| z != worker.hardware.zone)
+                {
+                    found.push(format!("wrong_place: {} on {}", task.name, worker.name));
+                }
+                *zones.entry(id).or_default().entry(&worker.hardware.zone).or_default() += 1;
+                if job.told_cancelled.is_some_and(|at| self.now > at + 35_000) {
+                    found.push(format!("ran_cancelled: {}", task.name));
+                }
+            }
+        }
+        for (id, zones) in &zones {
+            let job = jobs[id];
+            if job.body["one_zone"] == json!(true) && zones.len() > 1 {
+                found.push(format!("wrong_place: {id} in several zones"));
+            }
+            let cap = job.tasks().div_ceil(2);
+            if job.body["scatter"] == json!(true) && zones.values().any(|n| *n > cap) {
+                found.push(format!("wrong_place: {id} not spread"));
+            }
+        }
+        // The leader counts a machine's room only when its work has changed: never to miss one.
+        for table in self.nodes.iter().flatten().filter_map(Node::tables) {
+            for machine in table.machines.values() {
+                let total = if machine.kind == "s4" { 4.0 } else { 8.0 };
+                let held = machine.tasks.keys().filter_map(|(job, task)| {
+                    let job = table.jobs.get(job)?;
+                    job.attempts.get(task).is_some_and(|a| a.occupies()).then_some(job.spec.cpus)
+                });
+                let unknown = machine.strays.values().any(Option::is_none);
+                let strays: f64 = machine.strays.values().flatten().map(|r| r.cpus).sum();
+                let left = total - held.sum::<f64>() - strays;
+                if machine.free().is_some_and(|f| !unknown && (f.cpus - left).abs() > 1e-6) {
+                    found.push(format!("miscounted: {} holds {:?}", machine.id, machine.free()));
+                }
+            }
+        }
+        if red > 40.0 + 1e-6 {
+            found.push(format!("quota: red uses {red}"));
+        }
+        for it in found {
+            if !self.broken.contains(&it) {
+                self.broken.push(it);
+            }
+        }
+    }
+
+    /// What the leader holds of a job, to understand a failure.
+    pub fn held(&self, id: &str) -> String {
+        let tables = self.nodes.iter().flatten().filter_map(Node::tables);
+        let jobs = tables.filter_map(|t| t.jobs.get(id));
+        let on: Vec<_> = self
+            .plant
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.iter().map(move |t| (&w.name, w.gone, t)))
+            .filter(|(_, _, t)| t.name.starts_with(&format!("{id}/")))
+            .collect();
+        format!("{:#?} {on:?}", jobs.collect::<Vec<_>>())
+    }
+
+    /// A violation planted by hand: a task that runs is put on a second machine.
+    pub fn plant_second_run(&mut self) -> bool {
+        let workers = &mut self.plant.workers;
+        let running = workers.values().find_map(|w: &Worker| {
+            let task = w.tasks.iter().find(|t| t.on_machine())?;
+            (!w.gone).then(|| (w.name.clone(), task.clone()))
+        });
+        let Some((name, task)) = running else { return false };
+        let other = workers.values_mut().find(|w| w.name != name && !w.gone);
+        other.map(|w| w.tasks.push(task)).is_some()
+    }
+}
+
+/// Limits that no test runs into: the node keeps its own.
+fn free_limits() -> State {
+    let limits = settings(0).settings.state.clone();
+    State { rps: 1e6, write_rps: 1e6, ..limits }
+}
+
+/// Two machine types in three zones.
+pub fn offered() -> Vec<Offered> {
+    let hull = |sku: &str, cpus: f64, price: f64| Hull {
+        sku: sku.into(),
+        cpus,
+        accelerators: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 20.0,
+        fetch_gb_per_s: 0.5,
+        price,
+        market_price: price / 3.0,
+        boot_s: 5.0,
+        docks: ZONES.iter().map(|z| z.to_string()).collect(),
+    };
+    let types = [hull("s4", 4.0, 0.3), hull("m8", 8.0, 0.5)];
+    types.into_iter().map(|hull| Offered { hull, capacity: 6 }).collect()
+}
+
+/// A job of a shape, with what the tests vary.
+pub fn job(id: &str, shape: &str, crew: &str, shards: u32, cpus: f64, eta_s: f64) -> Value {
+    json!({"name_id": id, "jobclass": shape, "crew": crew, "shape": shape,
+        "rank": if shape == "service" { "production" } else { "standard" },
+        "shards": shards, "cpus": cpus, "accelerators": 0.0, "memory_gb": 1.0,
+        "bundle": "img", "pull_gb": 0.5, "hulls": null, "dock": null, "one_zone": shape == "gang",
+        "scatter": shape == "service", "driftwood": shape != "service" || id.ends_with('2'),
+        "eta_s": eta_s, "mark_s": if shape == "gang" { 5.0 } else { 0.0 }, "stow_s": 1.0,
+        "due_s": if shape == "array" { json!(eta_s * 4.0 + 60.0) } else { Value::Null }})
+}
--- a/tests/chance.rs
+++ b/tests/chance.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use swiftsail_core::chance::{Histories, Pmf};
 use swiftsail_core::job::{Kind, Spec};
-use swiftsail_standin::spec;
+use swiftsail_standin::world::spec;
 
 /// A job of class `c`, its tasks estimated at 10 s.
 fn ours() -> Spec {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,6 @@
 //! The rules of the protocol, on the pure cores of three controllers against the stand-in.
 
-use swiftsail_standin as standin;
+use swiftsail_standin::world as standin;
 
 use standin::{Weather, World, job};
 use swiftsail_core::node::{Action, Event, Node, Now};
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,7 +1,7 @@
 //! What a leader with a thousand machines and a hundred thousand tasks does, counted in work items
 //! and bytes: never in time.
 
-use swiftsail_standin::{self as standin, spec};
+use swiftsail_standin::world::{self as standin, spec};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -6,7 +6,7 @@
 use swiftsail_core::machine::{Machine, Standing};
 use swiftsail_core::settings::Settings;
 use swiftsail_core::term::{Phase, Term, Voucher, may_answer};
-use swiftsail_standin::spec;
+use swiftsail_standin::world::spec;
 use swiftsail_wire::workers::Cause;
 
 fn runner() -> TestRunner {
