--- a/crates/policy/src/facts.rs
+++ b/crates/policy/src/facts.rs
@@ -122,7 +122,7 @@
             (Type::Text, _) => Value::Text(format!("sample-{n}")),
             (Type::Number, _) => Value::Number([1.0, 0.0, 1e9, -5.0][n % 4]),
             (Type::Count, _) => Value::Count([1, 0, 100_000][n % 3]),
-            (Type::Flag, _) => Value::Flag(n % 2 == 0),
+            (Type::Flag, _) => Value::Flag(n.is_multiple_of(2)),
         };
         Facts::new(table, table.iter().map(value).collect())
     }
--- a/crates/standin/src/plant.rs
+++ b/crates/standin/src/plant.rs
@@ -48,6 +48,10 @@
     at: BTreeMap<String, u64>,
     /// Starts of tasks so far.
     pub started: u64,
+    /// When each task was first on its machine.
+    pub first_run: BTreeMap<String, u64>,
+    /// Tasks that commands have stopped.
+    pub halted: Vec<String>,
     /// Counts changes of what is on machines.
     pub version: u64,
 }
@@ -77,6 +81,8 @@
             rng,
             at: BTreeMap::new(),
             started: 0,
+            first_run: BTreeMap::new(),
+            halted: Vec::new(),
             version: 0,
         }
     }
@@ -191,7 +197,11 @@
                     if gang && matches!(to, Stage::Saving(_)) {
                         self.stopping.entry(key).or_insert(Stopping { at: now, progress });
                     }
-                    worker.changed |= task.advance(to);
+                    let (name, moved) = (task.name.clone(), task.advance(to));
+                    worker.changed |= moved;
+                    if moved {
+                        self.halted.push(name);
+                    }
                 }
             }
             if let Some(worker) = self.workers.get_mut(name) {
@@ -238,9 +248,7 @@
             let next = match stage {
                 Stage::Fetching if !here => stage,
                 Stage::Fetching if worker.faulty => Stage::Exited(Cause::Error, false),
-                _ if over && !matches!(stage, Stage::Fetching) || over && here => {
-                    Stage::Exited(Cause::Done, false)
-                }
+                _ if over => Stage::Exited(Cause::Done, false),
                 Stage::Fetching if gang => Stage::Gathering(now),
                 Stage::Fetching => {
                     progress = saved;
@@ -294,11 +302,11 @@
             }
         }
         for (n, stage, progress) in moves {
-            self.apply(name, n, stage, progress);
+            self.apply(name, n, stage, progress, now);
         }
     }
 
-    fn apply(&mut self, name: &str, n: usize, stage: Stage, progress: f64) {
+    fn apply(&mut self, name: &str, n: usize, stage: Stage, progress: f64, now: u64) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(task) = worker.tasks.get_mut(n) else { return };
         task.progress = progress;
@@ -314,6 +322,7 @@
         if began && !matches!(stage, Stage::Exited(Cause::Error, _)) {
             worker.use_image(&spec.image);
             self.started += 1;
+            self.first_run.entry(full.clone()).or_insert(now);
         }
         match stage {
             Stage::Exited(Cause::Done, _) => {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -20,6 +20,10 @@
     Malformed(String),
 }
 
+/// The changes asked for are no longer kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooOld;
+
 /// A consistent store in memory.
 pub struct Store {
     keys: BTreeMap<String, Pair>,
@@ -227,10 +231,10 @@
         !over.is_empty()
     }
 
-    /// Changes after a revision: None while there are none, an error if they are no longer kept.
-    pub fn news(&self, prefix: &str, from: u64) -> Result<Option<News>, ()> {
+    /// Changes after a revision: None while there are none.
+    pub fn news(&self, prefix: &str, from: u64) -> Result<Option<News>, TooOld> {
         if from < self.forgotten {
-            return Err(());
+            return Err(TooOld);
         }
         let begin = self.log.partition_point(|item| item.stamp <= from);
         let key = |i: &Item| i.write.clone().or(i.remove.clone()).unwrap_or_default();
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -5,7 +5,7 @@
 use crate::cloud::Offered;
 use crate::constants::*;
 use crate::plant::Plant;
-use crate::store::{Committed, Store};
+use crate::store::{Committed, Store, TooOld};
 use crate::worker::Worker;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -274,6 +274,11 @@
         self.at(at, Ev::User(self.jobs.len() - 1, 0));
     }
 
+    /// A controller crashes at a time.
+    pub fn crash(&mut self, at_ms: u64, node: usize) {
+        self.at(BEGIN + at_ms, Ev::Crash(node));
+    }
+
     /// An operator asks a controller something at a time. Returns the number of the answer.
     pub fn ask(&mut self, at_ms: u64, node: usize, ask: AdminAsk) -> u64 {
         self.next_request += 1;
@@ -567,7 +572,7 @@
         let (store, now) = (&self.store, self.now);
         self.follows.retain(|(n, life, id, prefix, from, until)| {
             let outcome = match store.news(prefix, *from) {
-                Err(()) => Outcome::TooOld,
+                Err(TooOld) => Outcome::TooOld,
                 Ok(Some(news)) => Outcome::News(news),
                 Ok(None) if now >= *until => Outcome::News(store.no_news()),
                 Ok(None) => return true,
