swiftsail local, and commands for jobs, plug-ins and faults

Seen on this machine: an array, a gang and a service submitted within 10 s of the start; a leader killed, a zone cut, the store stopped and spot machines taken in the midst, all work done; a restart of everything on the same folder found the service job and the three suspended plug-ins, and ran it again. Faulty plug-ins as real processes: all three suspended after five calls each, the service untouched.

--- a/crates/core/src/node/plugins.rs
+++ b/crates/core/src/node/plugins.rs
@@ -194,7 +194,7 @@
         let hooks = match self.host.check(offer.kind, &offer.source) {
             Ok(hooks) => hooks,
             Err(flaw) => {
-                return self.answer(request, problem(422, format!("plug-in {name}, {flaw}")));
+                return self.answer(request, problem(422, format!("plug-in {name}: {flaw}")));
             }
         };
         let held = self.plugins.known.get(name).cloned();
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,6 +1,6 @@
 //! The platform's settings file: read, checked, unknown fields ignored.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -59,7 +59,7 @@
 }
 
 /// A team's guarantee and limit.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Team {
     /// Its name.
     pub name: String,
@@ -78,23 +78,23 @@
 }
 
 /// What is expected for a class of jobs.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Objective {
     /// `wait`, `deadline`, `finished`, `guarantee` or others to come.
     pub kind: String,
     /// The class it is about.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub class: Option<String>,
     /// Time allowed, s.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub within_s: Option<f64>,
     /// Share that must keep it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub share: Option<f64>,
 }
 
 /// How workers behave.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Workers {
     /// Time between reports, s.
     pub report_s: f64,
@@ -109,7 +109,7 @@
 }
 
 /// Limits of the state service.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct State {
     /// Requests a second.
     pub rps: f64,
@@ -122,7 +122,7 @@
 }
 
 /// Limits of the cloud.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Cloud {
     /// Requests a second.
     pub rps: f64,
@@ -131,7 +131,7 @@
 }
 
 /// Limits of the controller's own machine.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MachineLimits {
     /// Share of a core.
     pub cores: f64,
@@ -142,7 +142,7 @@
 }
 
 /// The `[settings]` table.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Platform {
     /// All zones.
     #[serde(default)]
--- a/crates/policy/src/lang.rs
+++ b/crates/policy/src/lang.rs
@@ -14,7 +14,7 @@
 
 /// Where something is wrong in a source, and what.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("line {line}, column {column}: {cause}")]
+#[error("{}{cause}", place(*.line, *.column))]
 pub struct Flaw {
     /// Line, from 1; 0 if not known.
     pub line: usize,
@@ -24,6 +24,10 @@
     pub cause: String,
 }
 
+fn place(line: usize, column: usize) -> String {
+    if line == 0 { String::new() } else { format!("line {line}, column {column}: ") }
+}
+
 impl Flaw {
     /// A flaw at a position.
     pub fn at(position: Position, cause: impl Into<String>) -> Flaw {
--- a/crates/standin/src/cloud.rs
+++ b/crates/standin/src/cloud.rs
@@ -4,17 +4,15 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use rand_distr::{Distribution, LogNormal};
-use serde::Deserialize;
 use std::collections::BTreeMap;
 use swiftsail_core::settings::Cloud as Limits;
 use swiftsail_core::store::Bucket;
 use swiftsail_wire::cloud::{Hull, Listed, ListedState, Listing, Rent, Types};
 
 /// A machine type with what is to be had of it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
 pub struct Offered {
     /// The type as the cloud publishes it.
-    #[serde(flatten)]
     pub hull: Hull,
     /// Machines of it in each zone, ordinary and spot each.
     pub capacity: u32,
@@ -148,6 +146,16 @@
         Some(names)
     }
 
+    /// Names of machines go on from a number: none is given twice, restarts included.
+    pub fn name_from(&mut self, number: u32) {
+        self.next = self.next.max(number);
+    }
+
+    /// Number of the last machine named.
+    pub fn named(&self) -> u32 {
+        self.next
+    }
+
     /// A machine.
     pub fn machine(&self, name: &str) -> Option<&Machine> {
         self.machines.get(name)
--- a/crates/standin/src/constants.rs
+++ b/crates/standin/src/constants.rs
@@ -47,3 +47,5 @@
 pub const ANSWER_MS: u64 = 4_000;
 /// Pause of a worker before it tries the next node, ms (protocol).
 pub const NEXT_NODE_MS: u64 = 1_000;
+/// Longest time that a watch waits, ms (protocol).
+pub const FOLLOW_MOST_MS: u64 = 60_000;
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -95,7 +95,7 @@
 }
 
 /// A job's state as users see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     /// No task runs.
     #[serde(rename = "pending")]
@@ -112,22 +112,22 @@
 }
 
 /// Answer about one job.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct JobAnswer {
     /// Its id.
     pub name_id: String,
     /// Its state.
     pub status: Status,
     /// Tasks done.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub done: Option<u32>,
     /// Tasks running.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub running: Option<u32>,
 }
 
 /// Answer to a request that failed.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Problem {
     /// Cause and remedy.
     pub error: String,
@@ -270,3 +270,59 @@
         deadline_s: f.optional_number("due_s")?,
     })
 }
+
+/// A submission as it is written.
+#[derive(Serialize)]
+struct Written<'a> {
+    name_id: &'a str,
+    jobclass: &'a str,
+    crew: &'a str,
+    shape: Kind,
+    rank: &'static str,
+    shards: u32,
+    cpus: f64,
+    accelerators: f64,
+    memory_gb: f64,
+    bundle: &'a str,
+    pull_gb: f64,
+    hulls: &'a Option<Vec<String>>,
+    dock: &'a Option<String>,
+    one_zone: bool,
+    scatter: bool,
+    driftwood: bool,
+    eta_s: f64,
+    mark_s: f64,
+    stow_s: f64,
+    due_s: Option<f64>,
+}
+
+/// Writes a submission.
+pub fn write_submission(id: &str, spec: &Spec) -> Vec<u8> {
+    super::write(&Written {
+        name_id: id,
+        jobclass: &spec.class,
+        crew: &spec.team,
+        shape: spec.kind,
+        rank: match spec.priority {
+            Priority::Production => "production",
+            Priority::High => "high",
+            Priority::Normal => "standard",
+            Priority::Low => "low",
+        },
+        shards: spec.tasks,
+        cpus: spec.cpus,
+        accelerators: spec.gpus,
+        memory_gb: spec.memory_gb,
+        bundle: &spec.image,
+        pull_gb: spec.image_gb,
+        hulls: &spec.types,
+        dock: &spec.zone,
+        one_zone: spec.one_zone,
+        scatter: spec.spread,
+        driftwood: spec.spot,
+        eta_s: spec.estimate_s,
+        mark_s: spec.checkpoint_s,
+        stow_s: spec.save_s,
+        due_s: spec.deadline_s,
+    })
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,185 @@
+//! What the command line asks of a service that runs: users' requests in the protocol's form, and
+//! operators' in JSON. Repetitions keep the same id, so that none makes a second job.
+
+use crate::constants::*;
+use awc::Client as Http;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use swiftsail_core::job::Spec;
+use swiftsail_wire::users::{JobAnswer, Problem, write_submission};
+use swiftsail_wire::{read, users};
+
+/// Why a request came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No address answered.
+    #[error("no answer from {0}; is it running there, and is the address right?")]
+    Silent(String),
+    /// It answered, and refused.
+    #[error("refused with status {status}: {why}")]
+    Refused {
+        /// Status.
+        status: u16,
+        /// What it said.
+        why: String,
+    },
+    /// It was repeated for as long as makes sense.
+    #[error(
+        "not taken within {seconds} s: {why}; whether it was is not known, repeat with the same id"
+    )]
+    Late {
+        /// Time, s.
+        seconds: u64,
+        /// The latest obstacle.
+        why: String,
+    },
+    /// An answer that makes no sense.
+    #[error("the answer from {0} cannot be read: {1}; is a swiftsail of this version there?")]
+    Odd(SocketAddr, String),
+}
+
+impl ClientError {
+    /// Exit status of the program.
+    pub fn status(&self) -> u8 {
+        match self {
+            ClientError::Refused { .. } => STATUS_REFUSED,
+            _ => STATUS_SILENT,
+        }
+    }
+}
+
+/// A client of some addresses, tried in order.
+pub struct Client {
+    http: Http,
+    to: Vec<SocketAddr>,
+}
+
+struct Heard {
+    status: u16,
+    after: Option<u64>,
+    body: Vec<u8>,
+    from: SocketAddr,
+}
+
+impl Client {
+    /// A client of these addresses.
+    pub fn new(to: Vec<SocketAddr>) -> Client {
+        let timeout = Duration::from_millis(ANSWER_MS);
+        Client { http: Http::builder().disable_redirects().timeout(timeout).finish(), to }
+    }
+
+    /// Submits a job, repeating until it is known whether it was taken.
+    pub async fn submit(&self, id: &str, spec: &Spec) -> Result<JobAnswer, ClientError> {
+        self.until_sure("POST", users::path::JOBS, write_submission(id, spec)).await
+    }
+
+    /// Cancels a job, repeating until it is known.
+    pub async fn cancel(&self, id: &str) -> Result<JobAnswer, ClientError> {
+        self.until_sure("POST", &users::path::CANCEL.replace("{id}", id), Vec::new()).await
+    }
+
+    /// A job's state.
+    pub async fn poll(&self, id: &str) -> Result<JobAnswer, ClientError> {
+        self.until_sure("GET", &users::path::JOB.replace("{id}", id), Vec::new()).await
+    }
+
+    async fn until_sure(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<JobAnswer, ClientError> {
+        let begin = Instant::now();
+        let mut why = String::new();
+        for turn in 0.. {
+            let at = self.to[turn % self.to.len()];
+            let heard = self.ask(method, at, path, "application/msgpack", body.clone()).await;
+            let pause = match heard {
+                Some(heard) if matches!(heard.status, 200 | 201) => {
+                    return read(&heard.body).map_err(|e| ClientError::Odd(at, e.to_string()));
+                }
+                Some(heard) => {
+                    let said = read::<Problem>(&heard.body).map(|p| p.error);
+                    why = said.unwrap_or_else(|_| format!("status {}", heard.status));
+                    if matches!(heard.status, 400 | 404 | 422) {
+                        return Err(ClientError::Refused { status: heard.status, why });
+                    }
+                    heard.after.unwrap_or(0).min(REPEAT_PAUSE_MOST_S) * 1000
+                }
+                // Nobody listens at any of them: not worth a minute.
+                None if turn + 1 >= self.to.len() && why.is_empty() => {
+                    return Err(ClientError::Silent(self.names()));
+                }
+                None => 0,
+            };
+            if begin.elapsed() > Duration::from_millis(REPEAT_MS) {
+                break;
+            }
+            // Repetitions of many clients spread: half as long again, by chance.
+            let pause = pause.max(REPEAT_PAUSE_MS) as f64 * (1.0 + 0.5 * rand::random::<f64>());
+            actix_rt::time::sleep(Duration::from_millis(pause as u64)).await;
+        }
+        Err(ClientError::Late { seconds: REPEAT_MS / 1000, why })
+    }
+
+    /// An operator's request: the first address that can answer does.
+    pub async fn admin(
+        &self,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Value, ClientError> {
+        let mut refused = None;
+        for at in &self.to {
+            let Some(heard) = self.ask(method, *at, path, "application/json", body.clone()).await
+            else {
+                continue;
+            };
+            let found = serde_json::from_slice::<Value>(&heard.body);
+            let found = found.map_err(|e| ClientError::Odd(heard.from, e.to_string()))?;
+            if heard.status == 200 {
+                return Ok(found);
+            }
+            let why = found["error"].as_str().unwrap_or("no reason given").to_string();
+            let leader = found["leader"].as_str().map(|l| format!(" ({l} leads)"));
+            let why = format!("{why}{}", leader.unwrap_or_default());
+            refused = Some(ClientError::Refused { status: heard.status, why });
+            // Another may lead; whatever else it said, it has decided.
+            if heard.status != 421 {
+                break;
+            }
+        }
+        Err(refused.unwrap_or_else(|| ClientError::Silent(self.names())))
+    }
+
+    fn names(&self) -> String {
+        self.to.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+    }
+
+    async fn ask(
+        &self,
+        method: &str,
+        at: SocketAddr,
+        path: &str,
+        format: &str,
+        body: Vec<u8>,
+    ) -> Option<Heard> {
+        let url = format!("http://{at}{path}");
+        let request = match method {
+            "GET" => self.http.get(url),
+            "PUT" => self.http.put(url),
+            "DELETE" => self.http.delete(url),
+            _ => self.http.post(url),
+        };
+        let request = request.insert_header(("Content-Type", format));
+        let sent =
+            if body.is_empty() { request.send().await } else { request.send_body(body).await };
+        let mut response = sent.ok()?;
+        let after = response.headers().get("Retry-After").and_then(|v| v.to_str().ok());
+        let after = after.and_then(|v| v.parse().ok());
+        let status = response.status().as_u16();
+        let body = response.body().limit(RESPONSE_MOST).await.ok()?.to_vec();
+        Some(Heard { status, after, body, from: at })
+    }
+}
--- /dev/null
+++ b/src/commands/jobs.rs
@@ -0,0 +1,201 @@
+//! Jobs: submit, poll, cancel, list.
+
+use super::{Admin, To, show, wait};
+use crate::admin::path;
+use crate::client::Client;
+use clap::Subcommand;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use swiftsail_core::job::{Kind, Priority, Spec};
+use swiftsail_wire::users::{JobAnswer, valid_id};
+
+/// What may be done with jobs.
+#[derive(Debug, Subcommand)]
+pub enum JobCommand {
+    /// Submit the job that a TOML file describes
+    Submit {
+        /// The file, like those under examples/
+        file: PathBuf,
+        /// Its id, of the form wk-NAME; by default a new one
+        #[arg(long)]
+        id: Option<String>,
+        /// Where it goes
+        #[command(flatten)]
+        to: To,
+    },
+    /// Show a job's state
+    Poll {
+        /// Its id
+        job: String,
+        /// Where it goes
+        #[command(flatten)]
+        to: To,
+    },
+    /// Cancel a job
+    Cancel {
+        /// Its id
+        job: String,
+        /// Where it goes
+        #[command(flatten)]
+        to: To,
+    },
+    /// List the jobs that are not over
+    Jobs {
+        /// Where it goes
+        #[command(flatten)]
+        admin: Admin,
+    },
+}
+
+/// A job's file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobFile {
+    class: String,
+    team: String,
+    kind: Kind,
+    #[serde(default = "normal")]
+    priority: Priority,
+    tasks: u32,
+    cpus: f64,
+    #[serde(default)]
+    gpus: f64,
+    memory_gb: f64,
+    image: String,
+    #[serde(default)]
+    image_gb: f64,
+    #[serde(default)]
+    types: Option<Vec<String>>,
+    #[serde(default)]
+    zone: Option<String>,
+    #[serde(default)]
+    one_zone: bool,
+    #[serde(default)]
+    spread: bool,
+    #[serde(default)]
+    spot: bool,
+    #[serde(default)]
+    estimate_s: f64,
+    #[serde(default)]
+    checkpoint_s: f64,
+    #[serde(default)]
+    save_s: f64,
+    #[serde(default)]
+    deadline_s: Option<f64>,
+}
+
+fn normal() -> Priority {
+    Priority::Normal
+}
+
+fn load(file: &Path) -> Result<Spec, Box<dyn Error>> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| format!("job file {name}: cannot be read: {e}; give a readable TOML file"))?;
+    let j: JobFile = toml::from_str(&text).map_err(|e| format!("job file {name}: {e}"))?;
+    Ok(Spec {
+        class: j.class,
+        team: j.team,
+        kind: j.kind,
+        priority: j.priority,
+        tasks: j.tasks,
+        cpus: j.cpus,
+        gpus: j.gpus,
+        memory_gb: j.memory_gb,
+        image: j.image,
+        image_gb: j.image_gb,
+        types: j.types,
+        zone: j.zone,
+        one_zone: j.one_zone,
+        spread: j.spread,
+        spot: j.spot,
+        estimate_s: j.estimate_s,
+        checkpoint_s: j.checkpoint_s,
+        save_s: j.save_s,
+        deadline_s: j.deadline_s,
+    })
+}
+
+impl JobCommand {
+    /// Does it.
+    pub fn run(self) -> Result<(), Box<dyn Error>> {
+        match self {
+            JobCommand::Submit { file, id, to } => {
+                let spec = load(&file)?;
+                let id = id.unwrap_or_else(|| format!("wk-{:012x}", rand::random::<u64>() >> 16));
+                let id = checked(&id)?;
+                let answer = wait(async { Client::new(to.to.clone()).submit(id, &spec).await })?;
+                show_answer(&answer, to.json);
+            }
+            JobCommand::Poll { job, to } => {
+                let id = checked(&job)?;
+                let answer = wait(async { Client::new(to.to.clone()).poll(id).await })?;
+                show_answer(&answer, to.json);
+            }
+            JobCommand::Cancel { job, to } => {
+                let id = checked(&job)?;
+                let answer = wait(async { Client::new(to.to.clone()).cancel(id).await })?;
+                show_answer(&answer, to.json);
+            }
+            JobCommand::Jobs { admin } => list(&admin)?,
+        }
+        Ok(())
+    }
+}
+
+fn checked(id: &str) -> Result<&str, String> {
+    let why = || format!("`{id}` has not the form of a job's id: wk- and letters or digits");
+    valid_id(id).then_some(id).ok_or_else(why)
+}
+
+fn show_answer(answer: &JobAnswer, as_json: bool) {
+    let value = serde_json::to_value(answer).unwrap_or(Value::Null);
+    let shown = json!({
+        "job": answer.name_id, "status": value["status"],
+        "done": answer.done, "running": answer.running,
+    });
+    if as_json {
+        show::json(&shown);
+    } else {
+        let fields = ["job", "status", "running", "done"];
+        show::table(&fields, vec![show::cells(&shown, &fields)]);
+    }
+}
+
+fn list(admin: &Admin) -> Result<(), Box<dyn Error>> {
+    let mut jobs: Vec<Value> = Vec::new();
+    let client = || Client::new(admin.admin.clone());
+    wait(async {
+        let client = client();
+        let mut after = String::new();
+        loop {
+            let page = client.admin("GET", &format!("{}{after}", path::JOBS), Vec::new()).await?;
+            jobs.extend(page["jobs"].as_array().into_iter().flatten().cloned());
+            match page["next"].as_str() {
+                Some(next) => after = format!("?after={next}"),
+                None => return Ok(()),
+            }
+        }
+    })?;
+    if admin.json {
+        show::json(&Value::Array(jobs));
+        return Ok(());
+    }
+    let fields = [
+        "job",
+        "class",
+        "team",
+        "kind",
+        "priority",
+        "tasks",
+        "running",
+        "done",
+        "cancelled",
+        "age_s",
+        "deadline_s",
+    ];
+    show::table(&fields, jobs.iter().map(|j| show::cells(j, &fields)).collect());
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,62 @@
+//! The commands that talk to a service that runs.
+
+mod jobs;
+mod plugins;
+mod show;
+
+pub use jobs::JobCommand;
+pub use plugins::PluginCommand;
+
+use crate::client::ClientError;
+use crate::local::{Fault, path};
+use clap::Args;
+use std::error::Error;
+use std::net::SocketAddr;
+
+/// Where users' requests go.
+#[derive(Debug, Clone, Args)]
+pub struct To {
+    /// Addresses of controllers for users, tried in order
+    #[arg(
+        long,
+        env = "SWIFTSAIL_TO",
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7100,127.0.0.1:7101,127.0.0.1:7102",
+        value_name = "ADDR,..."
+    )]
+    to: Vec<SocketAddr>,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Where operators' requests go.
+#[derive(Debug, Clone, Args)]
+pub struct Admin {
+    /// Addresses of controllers for operators, tried in order
+    #[arg(
+        long,
+        env = "SWIFTSAIL_ADMIN",
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7120,127.0.0.1:7121,127.0.0.1:7122",
+        value_name = "ADDR,..."
+    )]
+    admin: Vec<SocketAddr>,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Runs a request to its end on this thread.
+fn wait<T>(request: impl Future<Output = Result<T, ClientError>>) -> Result<T, Box<dyn Error>> {
+    Ok(actix::System::new().block_on(request)?)
+}
+
+/// Asks a `swiftsail local` that runs for a fault.
+pub fn fault(at: SocketAddr, fault: &Fault) -> Result<(), Box<dyn Error>> {
+    let body = serde_json::to_vec(fault)?;
+    let client = || crate::client::Client::new(vec![at]);
+    let answer = wait(async { client().admin("POST", path::FAULT, body).await })?;
+    show::line(answer["done"].as_str().unwrap_or("done"));
+    Ok(())
+}
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -18,5 +18,44 @@
 pub const ADMIN_BODY_MOST: usize = 128 * 1024;
 /// Connections of operators at once.
 pub const ADMIN_CONNECTIONS: usize = 32;
+/// Exit status when nobody answered, or it is not known whether something was done.
+pub const STATUS_SILENT: u8 = 3;
 /// Exit status when a file, an argument or an answer refuses what was asked.
 pub const STATUS_REFUSED: u8 = 2;
+
+// ---- swiftsail local ---------------------------------------------------------------------------
+
+/// Error of the time of day that `local` tells controllers, ms: they share one clock.
+pub const LOCAL_CLOCK_OFF_MS: f64 = 1.0;
+/// Memory that `local` tells controllers they have, MB.
+pub const LOCAL_MEMORY_MB: f64 = 256.0;
+/// Sockets that `local` tells controllers they have.
+pub const LOCAL_SOCKETS: usize = 1_000;
+/// Most controllers of `local` (ports).
+pub const LOCAL_CONTROLLERS_MOST: usize = 5;
+/// Most machines of `local` (ports, and listeners of this process).
+pub const LOCAL_MACHINES_MOST: usize = 400;
+/// First port of `local`.
+pub const LOCAL_PORT: u16 = 7100;
+/// Time between two steps of the machines of `local`, ms.
+pub const LOCAL_STEP_MS: u64 = 50;
+/// Time between two looks at the controllers' processes, ms.
+pub const LOCAL_WATCH_MS: u64 = 250;
+/// Time after which a controller that ended starts again, ms.
+pub const LOCAL_RESTART_MS: u64 = 3_000;
+/// Time between two lines of progress, ms.
+pub const LOCAL_PROGRESS_MS: u64 = 2_000;
+/// Time for which a message into a cut is held, ms: longer than any caller waits.
+pub const LOCAL_HELD_MS: u64 = 6_000;
+/// Notice that the cloud gives before it takes a spot machine, ms.
+pub const LOCAL_NOTICE_MS: u64 = 15_000;
+/// Longest fault that can be asked for, s.
+pub const LOCAL_FAULT_MOST_S: f64 = 600.0;
+/// Time that a client waits for an answer to a submission or a cancellation (protocol), ms.
+pub const ANSWER_MS: u64 = 5_000;
+/// Time over which a submission or a cancellation is repeated (protocol), ms.
+pub const REPEAT_MS: u64 = 60_000;
+/// Pause before a repetition (protocol: 1 s or more), ms.
+pub const REPEAT_PAUSE_MS: u64 = 1_000;
+/// Longest pause that an answer may ask for (protocol), s.
+pub const REPEAT_PAUSE_MOST_S: u64 = 30;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,11 @@
 #![warn(missing_docs)]
 
 pub mod admin;
+pub mod client;
+pub mod commands;
 pub mod constants;
 pub mod controller;
 pub mod front;
+pub mod local;
 pub mod logging;
 pub mod program;
--- /dev/null
+++ b/src/local/mod.rs
@@ -0,0 +1,255 @@
+//! `swiftsail local`: one machine in one command. A state service, a cloud with its machines and real
+//! controller processes on loopback, speaking the protocol over real HTTP.
+
+mod faults;
+mod keep;
+mod link;
+mod model;
+mod outside;
+mod processes;
+mod serve;
+
+pub use faults::Fault;
+pub use model::{Model, Ports};
+pub use serve::path;
+
+use crate::constants::*;
+use crate::logging::LogFormat;
+use actix::Actor;
+use clap::Args;
+use indicatif::{ProgressBar, ProgressStyle};
+use keep::Keep;
+use outside::{HowIsIt, Outside, Standing};
+use processes::Processes;
+use std::collections::BTreeSet;
+use std::error::Error;
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+
+/// What `swiftsail local` takes.
+#[derive(Debug, Args)]
+#[command(args_conflicts_with_subcommands = true)]
+pub struct LocalArgs {
+    /// Controllers
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u8).range(1..=5))]
+    controllers: u8,
+    /// Machine types, zones, teams and limits: a file like deploy/local.toml, or `built-in`
+    #[arg(long, default_value = "built-in", value_name = "FILE")]
+    machines: PathBuf,
+    /// How many times as fast machines boot, fetch and run
+    #[arg(long, default_value_t = 1.0, value_name = "X", value_parser = speed)]
+    speed: f64,
+    /// Keep the state service's contents, settings and logs in this folder
+    #[arg(long, value_name = "DIR")]
+    data: Option<PathBuf>,
+    /// First of the ports used, some 100 and one a machine
+    #[arg(long, default_value_t = LOCAL_PORT)]
+    port: u16,
+    #[command(subcommand)]
+    command: Option<LocalCommand>,
+}
+
+/// What may be asked of a `swiftsail local` that runs.
+#[derive(Debug, clap::Subcommand)]
+pub enum LocalCommand {
+    /// Ask for a fault
+    Fault {
+        /// Where it runs
+        #[arg(long, env = "SWIFTSAIL_LOCAL", default_value = "127.0.0.1:7199", global = true)]
+        at: std::net::SocketAddr,
+        /// What
+        #[command(subcommand)]
+        fault: Fault,
+    },
+}
+
+impl LocalArgs {
+    /// What is asked of one that runs, if anything.
+    pub fn command(&mut self) -> Option<LocalCommand> {
+        self.command.take()
+    }
+}
+
+fn speed(text: &str) -> Result<f64, String> {
+    let speed: f64 = text.parse().map_err(|e| format!("{e}"))?;
+    if (0.1..=100.0).contains(&speed) { Ok(speed) } else { Err("is not from 0.1 to 100".into()) }
+}
+
+/// Runs until ctrl-C.
+pub fn run(args: &LocalArgs, log_format: LogFormat) -> Result<(), Box<dyn Error>> {
+    let built_in = args.machines.as_os_str() == "built-in";
+    let model = Model::load((!built_in).then_some(args.machines.as_path()))?;
+    let nodes = usize::from(args.controllers);
+    let machines = model.machines_most().min(LOCAL_MACHINES_MOST);
+    if usize::from(args.port) + 100 + machines > usize::from(u16::MAX) {
+        return Err(
+            format!("--port {}: too few ports above it; give a lower one", args.port).into()
+        );
+    }
+    let ports = Ports::from(args.port);
+    // Without a folder of its own, what it writes goes when it ends.
+    let scratch = args.data.is_none().then(tempfile::tempdir).transpose()?;
+    let folder = match (&args.data, &scratch) {
+        (Some(folder), _) => folder.clone(),
+        (None, Some(scratch)) => scratch.path().to_path_buf(),
+        (None, None) => return Err("no folder to write to".into()),
+    };
+    std::fs::create_dir_all(&folder)
+        .map_err(|e| format!("--data {}: {e}; give a folder to write to", folder.display()))?;
+    let keep = match &args.data {
+        Some(folder) => Some(Keep::open(&folder.join("state.redb")).map_err(|e| {
+            format!("--data {}: {e}; end what uses it, or give another", folder.display())
+        })?),
+        None => None,
+    };
+    let files = (0..nodes).map(|node| {
+        let (config, operator) = model::write_files(&model, ports, node, nodes, &folder)?;
+        Ok((model::node_name(node), config, operator))
+    });
+    let files = files.collect::<std::io::Result<Vec<_>>>()?;
+    let form = match log_format {
+        LogFormat::Text => "text",
+        LogFormat::Json => "json",
+    };
+    actix::System::new().block_on(async {
+        let (links, cut) = watch::channel(BTreeSet::new());
+        let (crash, mut crashes) = mpsc::unbounded_channel();
+        let outside = Outside::new(&model, ports, nodes, args.speed, keep, links, crash)?;
+        let outside = outside.start();
+        actix::spawn(serve::serve(outside.clone(), ports, nodes, machines)?);
+        for from in 0..nodes {
+            for to in (0..nodes).filter(|to| *to != from) {
+                join(&model, ports, from, to, cut.clone());
+            }
+        }
+        let mut processes = Processes::start(files, form)?;
+        announce(ports, nodes, &folder, args.data.is_some());
+        let mut progress = Progress::new();
+        let mut step = actix_rt::time::interval(Duration::from_millis(LOCAL_WATCH_MS));
+        let end = actix_rt::signal::ctrl_c();
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                ended = &mut end => {
+                    ended?;
+                    break;
+                }
+                Some(node) = crashes.recv() => processes.kill(node),
+                _ = step.tick() => {
+                    processes.watch()?;
+                    if progress.due() && let Ok(standing) = outside.send(HowIsIt).await {
+                        progress.show(&standing);
+                    }
+                }
+            }
+        }
+        progress.end();
+        say("ending: controllers first, then everything else");
+        drop(processes);
+        Ok(())
+    })
+}
+
+/// Passes connections on from one controller to another, while neither zone is cut off.
+fn join(
+    model: &Model,
+    ports: Ports,
+    from: usize,
+    to: usize,
+    mut cut: watch::Receiver<BTreeSet<String>>,
+) {
+    let zones = [model::site(&model.zones, from), model::site(&model.zones, to)];
+    let (open, opens) = watch::channel(true);
+    actix::spawn(async move {
+        while cut.changed().await.is_ok() {
+            let lost = cut.borrow_and_update();
+            let apart = zones[0] != zones[1] && zones.iter().any(|z| lost.contains(z));
+            open.send_replace(!apart);
+        }
+    });
+    let (here, there) = (ports.link(from, to), ports.cluster(to));
+    actix::spawn(async move {
+        if let Err(e) = link::pass(here, there, opens).await {
+            tracing::error!(at = %here, cause = %e, "controllers cannot reach each other: free the address");
+        }
+    });
+}
+
+/// A line for the one who started it; a closed pipe is no reason to complain.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+fn announce(ports: Ports, nodes: usize, folder: &std::path::Path, kept: bool) {
+    for node in 0..nodes {
+        say(&format!(
+            "{}: users and workers {}, operators {}",
+            model::node_name(node),
+            ports.front(node),
+            ports.admin(node)
+        ));
+    }
+    say(&format!("state service {}, cloud {}", ports.state(0), ports.cloud(0)));
+    say(&format!("faults: swiftsail local fault --at {}", ports.control()));
+    let logs = if kept { "state, settings and logs" } else { "settings and logs, while it runs" };
+    say(&format!("{logs}: {}", folder.display()));
+    say("submit with: swiftsail submit examples/array.toml    end with ctrl-C");
+}
+
+/// How things stand, shown as a line that changes, or as lines where there is no terminal.
+struct Progress {
+    bar: Option<ProgressBar>,
+    next: Instant,
+    last: String,
+}
+
+impl Progress {
+    fn new() -> Progress {
+        let bar = std::io::stderr().is_terminal().then(|| {
+            let style = ProgressStyle::with_template("{spinner} {elapsed_precise} {msg}");
+            ProgressBar::new_spinner()
+                .with_style(style.unwrap_or_else(|_| ProgressStyle::default_spinner()))
+        });
+        Progress { bar, next: Instant::now(), last: String::new() }
+    }
+
+    fn due(&mut self) -> bool {
+        let due = Instant::now() >= self.next;
+        if due {
+            self.next = Instant::now() + Duration::from_millis(LOCAL_PROGRESS_MS);
+        }
+        due
+    }
+
+    fn show(&mut self, s: &Standing) {
+        let line = format!(
+            "leader {}, {} jobs, {} of {} machines up, {} tasks run, {} done, {} killed, {:.3} spent",
+            s.leader.as_deref().unwrap_or("none"),
+            s.jobs,
+            s.up,
+            s.machines,
+            s.tasks,
+            s.done,
+            s.killed,
+            s.spent
+        );
+        let what = line.rsplit_once(',').map_or(line.as_str(), |(what, _)| what).to_string();
+        match &self.bar {
+            Some(bar) => {
+                bar.set_message(line);
+                bar.tick();
+            }
+            None if what != self.last => say(&line),
+            None => {}
+        }
+        self.last = what;
+    }
+
+    fn end(&self) {
+        if let Some(bar) = &self.bar {
+            bar.finish_and_clear();
+        }
+    }
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,6 +2,9 @@
 
 use clap::ValueEnum;
 use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::registry;
 
 /// Variable that says how much is logged.
 const LOG_LEVEL: &str = "LOG_LEVEL";
@@ -25,17 +28,22 @@
         "debug" => Some(LevelFilter::DEBUG),
         _ => None,
     };
-    let log = tracing_subscriber::fmt()
-        .with_max_level(level.unwrap_or(LevelFilter::INFO))
+    // What the web server says of its own start is of no use to operators.
+    let filter = Targets::new()
+        .with_default(level.unwrap_or(LevelFilter::INFO))
+        .with_target("actix_server", LevelFilter::WARN);
+    let form = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time();
     // Only fails if a log is set up already, which then serves.
     let _ = match format {
-        LogFormat::Text => tracing::subscriber::set_global_default(log.finish()),
-        LogFormat::Json => {
-            tracing::subscriber::set_global_default(log.json().flatten_event(true).finish())
+        LogFormat::Text => {
+            tracing::subscriber::set_global_default(registry().with(filter).with(form))
         }
+        LogFormat::Json => tracing::subscriber::set_global_default(
+            registry().with(filter).with(form.json().flatten_event(true)),
+        ),
     };
     if level.is_none() {
         tracing::warn!(level = %asked, "{LOG_LEVEL} is none of error, info, debug: info is used");
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,11 +1,15 @@
 //! The command line.
 
+use crate::client::ClientError;
+use crate::commands::{JobCommand, PluginCommand};
 use crate::constants::*;
 use crate::controller::Controller;
+use crate::local::{LocalArgs, LocalCommand};
 use crate::logging::{self, LogFormat};
-use crate::{admin, front};
+use crate::{admin, commands, front, local};
 use actix::Actor;
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
 use std::error::Error;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -20,7 +24,8 @@
     name = "swiftsail",
     version,
     arg_required_else_help = true,
-    args_conflicts_with_subcommands = true
+    after_help = "Exit status: 0 done; 2 refused (a file, an argument, or the service's answer); 3 no answer, or \
+not known whether it was done."
 )]
 struct Args {
     /// Run a controller with this settings file, the platform's
@@ -30,7 +35,7 @@
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
     /// Form of the log, which goes to standard error
-    #[arg(long, value_enum, default_value_t, value_name = "FORM")]
+    #[arg(long, value_enum, default_value_t, value_name = "FORM", global = true)]
     log_format: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
@@ -47,6 +52,18 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
+    /// Run everything on this machine: state service, cloud, workers, controllers
+    Local(LocalArgs),
+    #[command(flatten)]
+    Job(JobCommand),
+    /// Plug-ins: add, list, show, enable, disable, remove, explain, check
+    #[command(subcommand)]
+    Plugin(PluginCommand),
+    /// Print completions for a shell
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
 }
 
 /// Runs the program.
@@ -54,6 +71,22 @@
     let args = Args::parse();
     let outcome = match (args.command, args.config) {
         (Some(Command::Check { config, operator }), _) => check(config, operator),
+        (Some(Command::Local(mut local)), _) => match local.command() {
+            Some(LocalCommand::Fault { at, fault }) => commands::fault(at, &fault),
+            None => {
+                logging::start(args.log_format);
+                local::run(&local, args.log_format)
+            }
+        },
+        (Some(Command::Job(job)), _) => job.run(),
+        (Some(Command::Plugin(plugin)), _) => plugin.run(),
+        (Some(Command::Completions { shell }), _) => {
+            let mut out = Vec::new();
+            clap_complete::generate(shell, &mut Args::command(), "swiftsail", &mut out);
+            // A closed pipe is no reason to complain.
+            let _ = std::io::stdout().write_all(&out);
+            Ok(())
+        }
         (None, Some(config)) => {
             logging::start(args.log_format);
             run(&config, args.operator.as_deref())
@@ -63,8 +96,9 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("swiftsail: {why}");
-            ExitCode::from(STATUS_REFUSED)
+            let _ = writeln!(std::io::stderr(), "swiftsail: {why}");
+            let silent = why.downcast_ref::<ClientError>().map(ClientError::status);
+            ExitCode::from(silent.unwrap_or(STATUS_REFUSED))
         }
     }
 }
