--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -31,6 +31,7 @@
 pub use admin::AdminAsk;
 pub use calls::Purpose;
 pub use passes::{Passed as PassOutcome, pass, rent, tend};
+pub use steer::{Asking, steer};
 
 use crate::Time;
 use crate::cloud::{self, Cloud};
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -1,7 +1,7 @@
 //! Policy and plug-ins asked before a pass: facts of jobs, classes, teams and the cluster in, values
 //! for placement and fleet out. A set of plug-ins changes between passes, never within one.
 
-use super::{Node, Reply};
+use super::{Node, Now, Reply};
 use crate::constants::*;
 use crate::job::{Job, JobId, JobState, Kind, Priority, Spec};
 use crate::machine::{MachineType, Room, Standing};
@@ -18,55 +18,73 @@
 /// Milliseconds of a day.
 const DAY_MS: u64 = 86_400_000;
 
+/// What is asked before a pass, and of what.
+pub struct Asking<'a> {
+    /// The policy.
+    pub policy: &'a mut Policy,
+    /// The plug-ins.
+    pub host: &'a mut Host,
+    /// The teams.
+    pub teams: &'a [Team],
+    /// The machine types.
+    pub types: &'a [MachineType],
+    /// The time.
+    pub now: Now,
+}
+
+/// Works out how the pass to come is steered. A round (`full`) asks anew; between rounds only jobs
+/// that have not been asked about are.
+pub fn steer(tables: &Tables, asking: Asking, steering: &mut Steering, full: bool) {
+    let Asking { policy, host, teams, types, now } = asking;
+    host.begin_pass(now.steady);
+    // What does not depend on facts costs none.
+    let by_job = policy.varies_by_job() || host.steers();
+    let asks = by_job || full && policy.varies_by_cluster();
+    let none = Facts::new(&[], Vec::new());
+    let cluster = if asks { cluster_of(tables, types, now.wall).0 } else { none };
+    if full {
+        *steering = Steering {
+            toggle: policy.cluster(Knob::Toggle, &cluster) as u32,
+            line_cap: policy.cluster(Knob::LineCap, &cluster) as usize,
+            round_ms: (policy.cluster(Knob::RoundS, &cluster) * MS_PER_S) as u64,
+            reserve: policy.cluster(Knob::Reserve, &cluster) as u32,
+            idle_ms: (policy.cluster(Knob::IdleS, &cluster) * MS_PER_S) as u64,
+            usual: usual(policy),
+            jobs: HashMap::new(),
+        };
+    }
+    if !by_job {
+        steering.jobs.clear();
+        return;
+    }
+    let usage = tables.usage(teams);
+    let mut advisor = Advisor { policy, host, cluster, now: now.steady, orders: BTreeMap::new() };
+    let names: Vec<String> = types.iter().map(|t| t.name.clone()).collect();
+    for job in tables.jobs.values() {
+        let asks = job.state() == JobState::Live && !job.waiting.is_empty();
+        if !asks || steering.jobs.contains_key(&job.id) {
+            continue;
+        }
+        let team = team_of(&job.spec, teams, &usage);
+        let facts = job_of(job, now.steady, now.wall);
+        let (found, _) = advisor.ask(tables, job, &facts, &team, &names);
+        steering.jobs.insert(job.id.clone(), found);
+    }
+    for (name, flaw) in policy.failures() {
+        tracing::error!(setting = name, cause = %flaw, "an expression of the policy failed: its default is used");
+    }
+}
+
 impl Node {
-    /// Works out how the pass to come is steered. A round asks anew; between rounds only jobs that
-    /// have not been asked about are.
+    /// Works out how the pass to come is steered.
     pub(super) fn steer(&mut self, full: bool) {
         let Node { leader: Some(leader), policy, host, steering, settings, now, types, .. } = self
         else {
             return;
         };
-        host.begin_pass(now.steady);
         let types: &[MachineType] = types.as_deref().map_or(&[], Vec::as_slice);
-        // What does not depend on facts costs none.
-        let by_job = policy.varies_by_job() || host.steers();
-        let asks = by_job || full && policy.varies_by_cluster();
-        let none = Facts::new(&[], Vec::new());
-        let cluster = if asks { cluster_of(leader, types, now.wall).0 } else { none };
-        if full {
-            let cluster = &cluster;
-            *steering = Steering {
-                toggle: policy.cluster(Knob::Toggle, cluster) as u32,
-                line_cap: policy.cluster(Knob::LineCap, cluster) as usize,
-                round_ms: (policy.cluster(Knob::RoundS, cluster) * MS_PER_S) as u64,
-                reserve: policy.cluster(Knob::Reserve, cluster) as u32,
-                idle_ms: (policy.cluster(Knob::IdleS, cluster) * MS_PER_S) as u64,
-                usual: usual(policy),
-                jobs: HashMap::new(),
-            };
-        }
-        if !by_job {
-            steering.jobs.clear();
-            return;
-        }
         let teams = &settings.settings.teams;
-        let usage = leader.usage(teams);
-        let mut advisor =
-            Advisor { policy, host, cluster, now: now.steady, orders: BTreeMap::new() };
-        let names: Vec<String> = types.iter().map(|t| t.name.clone()).collect();
-        for job in leader.jobs.values() {
-            let asks = job.state() == JobState::Live && !job.waiting.is_empty();
-            if !asks || steering.jobs.contains_key(&job.id) {
-                continue;
-            }
-            let team = team_of(&job.spec, teams, &usage);
-            let facts = job_of(job, now.steady, now.wall);
-            let (found, _) = advisor.ask(leader, job, &facts, &team, &names);
-            steering.jobs.insert(job.id.clone(), found);
-        }
-        for (name, flaw) in policy.failures() {
-            tracing::error!(setting = name, cause = %flaw, "an expression of the policy failed: its default is used");
-        }
+        steer(leader, Asking { policy, host, teams, types, now: *now }, steering, full);
     }
 
     /// What plug-ins advise on a new submission. Production work is never sent away.
--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -366,6 +366,46 @@
         .unwrap();
 }
 
+#[test]
+fn the_examples_and_the_deployed_file_are_sound() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    Operator::load(&root.join("deploy/operator.toml")).expect("the deployed file is sound");
+    let mut seen = 0;
+    for entry in std::fs::read_dir(root.join("examples/plugins")).expect("there are examples") {
+        let path = entry.expect("readable").path();
+        let source = std::fs::read_to_string(&path).expect("readable");
+        let toml = path.extension().is_some_and(|e| e == "toml");
+        let kind = if toml { Kind::Report } else { Kind::Decision };
+        let hooks = Host::default().check(kind, &source).expect("sound");
+        for hook in hooks {
+            swiftsail_policy::host::try_hook(&source, hook).expect("it answers on samples");
+        }
+        seen += 1;
+    }
+    assert!(seen >= 3);
+}
+
+#[test]
+fn the_deployed_policy_is_the_built_in_one() {
+    use swiftsail_policy::policy::{Knob, default_of};
+    let text = include_str!("../deploy/operator.toml");
+    let mut deployed = Operator::parse("file", text).expect("sound").policy();
+    let none = Facts::sample(CLUSTER, 0);
+    for knob in [Knob::Toggle, Knob::LineCap, Knob::RoundS, Knob::Reserve, Knob::IdleS] {
+        assert_eq!(deployed.cluster(knob, &none), default_of(knob), "{knob:?}");
+    }
+    for knob in [Knob::Threshold, Knob::SpotShare] {
+        assert_eq!(deployed.job(knob, &none, &none, &none), default_of(knob), "{knob:?}");
+    }
+    use swiftsail_core::steering::Steering;
+    let built_in = Steering::default();
+    assert_eq!(default_of(Knob::Threshold), built_in.usual.threshold);
+    assert_eq!(default_of(Knob::LineCap), built_in.line_cap as f64);
+    assert_eq!(default_of(Knob::RoundS) * 1000.0, built_in.round_ms as f64);
+    assert_eq!(default_of(Knob::IdleS) * 1000.0, built_in.idle_ms as f64);
+    assert_eq!(default_of(Knob::Reserve), f64::from(built_in.reserve));
+}
+
 #[test]
 fn a_policy_that_fails_at_run_time_falls_back_and_is_told_once() {
     let policy = BTreeMap::from([(
