--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -194,8 +194,11 @@
     ) -> (JobSteering, Vec<(Hook, Verdict)>) {
         let mut found = self.by_policy(facts, team);
         let mut verdicts = Vec::new();
+        // Where production work may go is not for plug-ins to narrow: it stays first whatever they say.
+        let narrows = |hook: Hook| matches!(hook, Hook::SpotShare | Hook::AvoidTypes);
         for hook in [Hook::Priority, Hook::ClassOrder, Hook::SpotShare, Hook::AvoidTypes] {
-            if !self.host.has(hook) {
+            let out_of_reach = narrows(hook) && job.spec.priority == Priority::Production;
+            if out_of_reach || !self.host.has(hook) {
                 continue;
             }
             let verdict = match hook {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world/mod.rs
@@ -2,11 +2,15 @@
 //! with crashes, delays, duplicates and lost answers. The protocol's rules are checked after every
 //! step. Every choice comes from one seed.
 
+mod rules;
+mod users;
+
+pub use users::UserJob;
+
 use crate::cloud::Offered;
 use crate::constants::*;
 use crate::plant::Plant;
 use crate::store::{Committed, Store, TooOld};
-use crate::worker::Worker;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
@@ -15,7 +19,7 @@
 use std::sync::Arc;
 use swiftsail_core::cloud;
 use swiftsail_core::job::{Kind, Priority, Spec};
-use swiftsail_core::node::{Action, AdminAsk, Ask, Event, Node, Now, Reply};
+use swiftsail_core::node::{Action, AdminAsk, Event, Node, Now, Reply};
 use swiftsail_core::settings::{Settings, State};
 use swiftsail_core::store::{Call, Outcome};
 use swiftsail_policy::operator::Operator;
@@ -86,34 +90,6 @@
     }
 }
 
-/// A job as its user sees it.
-pub struct UserJob {
-    pub id: String,
-    pub body: Value,
-    pub at: u64,
-    pub cancel_at: Option<u64>,
-    pub accepted: bool,
-    pub last: Option<String>,
-    pub told_cancelled: Option<u64>,
-    poll_open: Option<u64>,
-    final_at: u64,
-}
-
-impl UserJob {
-    pub fn text(&self, field: &str) -> &str {
-        self.body[field].as_str().unwrap_or("")
-    }
-    pub fn number(&self, field: &str) -> f64 {
-        self.body[field].as_f64().unwrap_or(0.0)
-    }
-    pub fn tasks(&self) -> u32 {
-        self.body["shards"].as_u64().unwrap_or(0) as u32
-    }
-    pub fn over(&self) -> bool {
-        matches!(self.last.as_deref(), Some("done" | "withdrawn"))
-    }
-}
-
 #[derive(Debug)]
 enum Ev {
     Tick(usize, u64),
@@ -615,206 +591,6 @@
             self.at(now + STEP_MS, Ev::WorkerStep(name.to_string()));
         }
     }
-
-    // ---- users ---------------------------------------------------------------------------------
-
-    fn pick_node(&mut self) -> Option<usize> {
-        let up: Vec<usize> = (0..NODES).filter(|n| self.nodes[*n].is_some()).collect();
-        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
-    }
-
-    fn user(&mut self, job: usize, what: u8) {
-        let Some(n) = self.pick_node() else {
-            return self.at(self.now + 1_000, Ev::User(job, what));
-        };
-        let id = self.jobs[job].id.clone();
-        let ask = match what {
-            0 => Ask::Submit(rmp_serde::to_vec_named(&self.jobs[job].body).expect("JSON packs")),
-            1 => Ask::Poll(id),
-            _ => Ask::Cancel(id),
-        };
-        if what == 1 {
-            self.jobs[job].poll_open = Some(self.now);
-        }
-        self.next_request += 1;
-        let request = self.next_request;
-        let life = self.lives[n];
-        self.askers.insert((n, life, request), Asker::User(job, what, self.now));
-        self.handle(n, life, Event::User(request, ask));
-        // A node that ends answers nobody.
-        self.at(self.now + 5_000, Ev::UserReply(job, what + 10, self.now, None));
-    }
-
-    fn user_reply(&mut self, job: usize, what: u8, sent: u64, reply: Option<Reply>) {
-        let now = self.now;
-        let j = &mut self.jobs[job];
-        // The guard against a silent node: only the first submission or a cancel needs it.
-        if what >= 10 {
-            let open = match what - 10 {
-                0 => !j.accepted,
-                1 => j.poll_open.is_some_and(|at| at + 5_000 <= now),
-                2 => j.told_cancelled.is_none() && !j.over(),
-                _ => false,
-            };
-            if open {
-                self.at(now, Ev::User(job, what - 10));
-            }
-            return;
-        }
-        // Its user has given up on a late answer; and an answer to what was asked before the
-        // final word came is no later word.
-        let late = now >= sent + if what == 1 { 2_000 } else { 5_000 };
-        let Some(reply) = reply.filter(|_| !late && sent >= j.final_at) else { return };
-        if what == 1 {
-            j.poll_open = None;
-        }
-        self.version += 1;
-        let body: Value = rmp_serde::from_slice(&reply.body).unwrap_or(Value::Null);
-        let status = body["status"].as_str().unwrap_or("").to_string();
-        match reply.status {
-            200 | 201 => {
-                let first = !j.accepted;
-                j.accepted = true;
-                if let Some(last) = &j.last
-                    && matches!(last.as_str(), "done" | "withdrawn")
-                    && *last != status
-                {
-                    self.broken.push(format!("went_back: {} from {last} to {status}", j.id));
-                }
-                if status == "withdrawn" {
-                    if j.cancel_at.is_none() {
-                        self.broken.push(format!("went_back: {} was not cancelled", j.id));
-                    }
-                    j.told_cancelled.get_or_insert(now);
-                }
-                if status == "done" {
-                    let id = j.id.clone();
-                    let all =
-                        (0..j.tasks()).all(|t| self.plant.done.contains(&format!("{id}/{t}")));
-                    if !all {
-                        self.broken.push(format!("not_done: {id}"));
-                    }
-                }
-                let j = &mut self.jobs[job];
-                j.last = Some(status);
-                if j.over() && j.final_at == 0 {
-                    j.final_at = now;
-                }
-                let cancel = j.cancel_at.filter(|_| first);
-                if first {
-                    self.at(now + 5_000, Ev::User(job, 1));
-                    if let Some(at) = cancel {
-                        self.at(at, Ev::User(job, 2));
-                    }
-                } else if what == 1 && !self.jobs[job].over() {
-                    self.at(now + 5_000, Ev::User(job, 1));
-                }
-            }
-            400 | 404 | 422 if j.accepted => {
-                self.broken.push(format!("forgotten: {} got {}", j.id, reply.status));
-            }
-            404 | 400 | 422 => {}
-            _ => {
-                let at = now + self.rng.random_range(1_000..3_000);
-                let poll_over = what == 1 && self.jobs[job].over();
-                if !poll_over && (what != 0 || !self.jobs[job].accepted) {
-                    self.at(at, Ev::User(job, what));
-                }
-            }
-        }
-    }
-
-    // ---- the rules -----------------------------------------------------------------------------
-
-    /// Checks every rule on what is on the machines now.
-    pub fn check(&mut self) {
-        let mut seen: HashMap<&str, &str> = HashMap::new();
-        let mut red = 0.0;
-        let mut zones: HashMap<&str, BTreeMap<&str, u32>> = HashMap::new();
-        let jobs: HashMap<&str, &UserJob> = self.jobs.iter().map(|j| (j.id.as_str(), j)).collect();
-        let mut found = Vec::new();
-        for worker in self.plant.workers.values().filter(|w| !w.gone) {
-            for task in worker.tasks.iter().filter(|t| t.on_machine()) {
-                let id = task.name.split('/').next().unwrap_or("");
-                if let Some(other) = seen.insert(&task.name, &worker.name) {
-                    found.push(format!("ran_twice: {} on {other} and {}", task.name, worker.name));
-                }
-                let Some(job) = jobs.get(id) else { continue };
-                if job.text("crew") == "red" {
-                    red += job.number("cpus");
-                }
-                if worker.hardware.spot && !job.body["driftwood"].as_bool().unwrap_or(false)
-                    || job.body["dock"].as_str().is_some_and(|z| z != worker.hardware.zone)
-                {
-                    found.push(format!("wrong_place: {} on {}", task.name, worker.name));
-                }
-                *zones.entry(id).or_default().entry(&worker.hardware.zone).or_default() += 1;
-                if job.told_cancelled.is_some_and(|at| self.now > at + 35_000) {
-                    found.push(format!("ran_cancelled: {}", task.name));
-                }
-            }
-        }
-        for (id, zones) in &zones {
-            let job = jobs[id];
-            if job.body["one_zone"] == json!(true) && zones.len() > 1 {
-                found.push(format!("wrong_place: {id} in several zones"));
-            }
-            let cap = job.tasks().div_ceil(2);
-            if job.body["scatter"] == json!(true) && zones.values().any(|n| *n > cap) {
-                found.push(format!("wrong_place: {id} not spread"));
-            }
-        }
-        // The leader counts a machine's room only when its work has changed: never to miss one.
-        for table in self.nodes.iter().flatten().filter_map(Node::tables) {
-            for machine in table.machines.values() {
-                let total = if machine.kind == "s4" { 4.0 } else { 8.0 };
-                let held = machine.tasks.keys().filter_map(|(job, task)| {
-                    let job = table.jobs.get(job)?;
-                    job.attempts.get(task).is_some_and(|a| a.occupies()).then_some(job.spec.cpus)
-                });
-                let unknown = machine.strays.values().any(Option::is_none);
-                let strays: f64 = machine.strays.values().flatten().map(|r| r.cpus).sum();
-                let left = total - held.sum::<f64>() - strays;
-                if machine.free().is_some_and(|f| !unknown && (f.cpus - left).abs() > 1e-6) {
-                    found.push(format!("miscounted: {} holds {:?}", machine.id, machine.free()));
-                }
-            }
-        }
-        if red > 40.0 + 1e-6 {
-            found.push(format!("quota: red uses {red}"));
-        }
-        for it in found {
-            if !self.broken.contains(&it) {
-                self.broken.push(it);
-            }
-        }
-    }
-
-    /// What the leader holds of a job, to understand a failure.
-    pub fn held(&self, id: &str) -> String {
-        let tables = self.nodes.iter().flatten().filter_map(Node::tables);
-        let jobs = tables.filter_map(|t| t.jobs.get(id));
-        let on: Vec<_> = self
-            .plant
-            .workers
-            .values()
-            .flat_map(|w| w.tasks.iter().map(move |t| (&w.name, w.gone, t)))
-            .filter(|(_, _, t)| t.name.starts_with(&format!("{id}/")))
-            .collect();
-        format!("{:#?} {on:?}", jobs.collect::<Vec<_>>())
-    }
-
-    /// A violation planted by hand: a task that runs is put on a second machine.
-    pub fn plant_second_run(&mut self) -> bool {
-        let workers = &mut self.plant.workers;
-        let running = workers.values().find_map(|w: &Worker| {
-            let task = w.tasks.iter().find(|t| t.on_machine())?;
-            (!w.gone).then(|| (w.name.clone(), task.clone()))
-        });
-        let Some((name, task)) = running else { return false };
-        let other = workers.values_mut().find(|w| w.name != name && !w.gone);
-        other.map(|w| w.tasks.push(task)).is_some()
-    }
 }
 
 /// Limits that no test runs into: the node keeps its own.
@@ -851,3 +627,17 @@
         "eta_s": eta_s, "mark_s": if shape == "gang" { 5.0 } else { 0.0 }, "stow_s": 1.0,
         "due_s": if shape == "array" { json!(eta_s * 4.0 + 60.0) } else { Value::Null }})
 }
+
+/// A mixed load: as many arrays, gangs and services, some of them cancelled.
+pub fn mixed_load(world: &mut World, number: u64) {
+    for n in 0..number {
+        let id = format!("wk-a{n}");
+        let cancel = (n % 3 == 2).then_some(20_000 + n * 5_000);
+        world.submit(500 + n * 4_000, cancel, job(&id, "array", "red", 8, 2.0, 6.0));
+        let id = format!("wk-g{n}");
+        world.submit(1_000 + n * 5_000, None, job(&id, "gang", "blue", 3, 2.0, 8.0));
+        let id = format!("wk-s{n}");
+        let cancel = (n % 2 == 1).then_some(45_000 + n * 3_000);
+        world.submit(200 + n * 2_000, cancel, job(&id, "service", "blue", 2, 1.0, 0.0));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/world/users.rs
@@ -0,0 +1,142 @@
+//! Users: they submit, poll and cancel, and note what goes against the rules in the answers.
+
+use super::{Asker, Ev, NODES, World};
+use rand::Rng;
+use serde_json::Value;
+use swiftsail_core::node::{Ask, Event, Reply};
+
+/// A job as its user sees it.
+pub struct UserJob {
+    pub id: String,
+    pub body: Value,
+    pub at: u64,
+    pub cancel_at: Option<u64>,
+    pub accepted: bool,
+    pub last: Option<String>,
+    pub told_cancelled: Option<u64>,
+    pub(super) poll_open: Option<u64>,
+    pub(super) final_at: u64,
+}
+
+impl UserJob {
+    pub fn text(&self, field: &str) -> &str {
+        self.body[field].as_str().unwrap_or("")
+    }
+    pub fn number(&self, field: &str) -> f64 {
+        self.body[field].as_f64().unwrap_or(0.0)
+    }
+    pub fn tasks(&self) -> u32 {
+        self.body["shards"].as_u64().unwrap_or(0) as u32
+    }
+    pub fn over(&self) -> bool {
+        matches!(self.last.as_deref(), Some("done" | "withdrawn"))
+    }
+}
+
+impl World {
+    fn pick_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..NODES).filter(|n| self.nodes[*n].is_some()).collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+
+    pub(super) fn user(&mut self, job: usize, what: u8) {
+        let Some(n) = self.pick_node() else {
+            return self.at(self.now + 1_000, Ev::User(job, what));
+        };
+        let id = self.jobs[job].id.clone();
+        let ask = match what {
+            0 => Ask::Submit(rmp_serde::to_vec_named(&self.jobs[job].body).expect("JSON packs")),
+            1 => Ask::Poll(id),
+            _ => Ask::Cancel(id),
+        };
+        if what == 1 {
+            self.jobs[job].poll_open = Some(self.now);
+        }
+        self.next_request += 1;
+        let request = self.next_request;
+        let life = self.lives[n];
+        self.askers.insert((n, life, request), Asker::User(job, what, self.now));
+        self.handle(n, life, Event::User(request, ask));
+        // A node that ends answers nobody.
+        self.at(self.now + 5_000, Ev::UserReply(job, what + 10, self.now, None));
+    }
+
+    pub(super) fn user_reply(&mut self, job: usize, what: u8, sent: u64, reply: Option<Reply>) {
+        let now = self.now;
+        let j = &mut self.jobs[job];
+        // The guard against a silent node: only the first submission or a cancel needs it.
+        if what >= 10 {
+            let open = match what - 10 {
+                0 => !j.accepted,
+                1 => j.poll_open.is_some_and(|at| at + 5_000 <= now),
+                2 => j.told_cancelled.is_none() && !j.over(),
+                _ => false,
+            };
+            if open {
+                self.at(now, Ev::User(job, what - 10));
+            }
+            return;
+        }
+        // Its user has given up on a late answer; and an answer to what was asked before the
+        // final word came is no later word.
+        let late = now >= sent + if what == 1 { 2_000 } else { 5_000 };
+        let Some(reply) = reply.filter(|_| !late && sent >= j.final_at) else { return };
+        if what == 1 {
+            j.poll_open = None;
+        }
+        self.version += 1;
+        let body: Value = rmp_serde::from_slice(&reply.body).unwrap_or(Value::Null);
+        let status = body["status"].as_str().unwrap_or("").to_string();
+        match reply.status {
+            200 | 201 => {
+                let first = !j.accepted;
+                j.accepted = true;
+                if let Some(last) = &j.last
+                    && matches!(last.as_str(), "done" | "withdrawn")
+                    && *last != status
+                {
+                    self.broken.push(format!("went_back: {} from {last} to {status}", j.id));
+                }
+                if status == "withdrawn" {
+                    if j.cancel_at.is_none() {
+                        self.broken.push(format!("went_back: {} was not cancelled", j.id));
+                    }
+                    j.told_cancelled.get_or_insert(now);
+                }
+                if status == "done" {
+                    let id = j.id.clone();
+                    let all =
+                        (0..j.tasks()).all(|t| self.plant.done.contains(&format!("{id}/{t}")));
+                    if !all {
+                        self.broken.push(format!("not_done: {id}"));
+                    }
+                }
+                let j = &mut self.jobs[job];
+                j.last = Some(status);
+                if j.over() && j.final_at == 0 {
+                    j.final_at = now;
+                }
+                let cancel = j.cancel_at.filter(|_| first);
+                if first {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                    if let Some(at) = cancel {
+                        self.at(at, Ev::User(job, 2));
+                    }
+                } else if what == 1 && !self.jobs[job].over() {
+                    self.at(now + 5_000, Ev::User(job, 1));
+                }
+            }
+            400 | 404 | 422 if j.accepted => {
+                self.broken.push(format!("forgotten: {} got {}", j.id, reply.status));
+            }
+            404 | 400 | 422 => {}
+            _ => {
+                let at = now + self.rng.random_range(1_000..3_000);
+                let poll_over = what == 1 && self.jobs[job].over();
+                if !poll_over && (what != 0 || !self.jobs[job].accepted) {
+                    self.at(at, Ev::User(job, what));
+                }
+            }
+        }
+    }
+}
--- a/src/local/mod.rs
+++ b/src/local/mod.rs
@@ -44,6 +44,9 @@
     /// Keep the state service's contents, settings and logs in this folder
     #[arg(long, value_name = "DIR")]
     data: Option<PathBuf>,
+    /// Seed of boots, speeds and run times, so that a run can be repeated; by default a new one
+    #[arg(long)]
+    seed: Option<u64>,
     /// First of the ports used, some 100 and one a machine
     #[arg(long, default_value_t = LOCAL_PORT)]
     port: u16,
@@ -109,6 +112,7 @@
         Ok((model::node_name(node), config, operator))
     });
     let files = files.collect::<std::io::Result<Vec<_>>>()?;
+    let seed = args.seed.unwrap_or_else(rand::random);
     let form = match log_format {
         LogFormat::Text => "text",
         LogFormat::Json => "json",
@@ -116,7 +120,7 @@
     actix::System::new().block_on(async {
         let (links, cut) = watch::channel(BTreeSet::new());
         let (crash, mut crashes) = mpsc::unbounded_channel();
-        let outside = Outside::new(&model, ports, nodes, args.speed, keep, links, crash)?;
+        let outside = Outside::new(&model, ports, nodes, (args.speed, seed), keep, links, crash)?;
         let outside = outside.start();
         actix::spawn(serve::serve(outside.clone(), ports, nodes, machines)?);
         for from in 0..nodes {
--- a/src/local/outside.rs
+++ b/src/local/outside.rs
@@ -155,14 +155,13 @@
         model: &Model,
         ports: Ports,
         nodes: usize,
-        speed: f64,
+        (speed, seed): (f64, u64),
         keep: Option<Keep>,
         links: watch::Sender<BTreeSet<String>>,
         crash: mpsc::UnboundedSender<usize>,
     ) -> Result<Outside, redb::Error> {
         let platform = model.platform();
         let (pairs, epoch) = keep.as_ref().map(Keep::load).transpose()?.unwrap_or_default();
-        let seed = rand::random();
         let mut plant = Plant::new(model.offered(), platform.clone(), nodes, speed, seed, 0);
         let named = keep.as_ref().map(Keep::machines).transpose()?.unwrap_or(0);
         plant.cloud.name_from(named);
--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -12,7 +12,7 @@
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::{Event, Outbox, ReportHook};
 use swiftsail_policy::plugin::{Kind, Offer, PluginRecord, State, Step, chunks, hash};
-use swiftsail_standin::world::{Weather, World, job};
+use swiftsail_standin::world::{Weather, World, job, mixed_load};
 
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 const ROUGH: Weather = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
@@ -135,6 +135,31 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
+/// A plug-in that avoids every machine but the costliest would keep a service waiting for a boot.
+#[test]
+fn where_production_work_goes_is_not_narrowed() {
+    let mut world = World::new(31, CALM, 1_000);
+    world.operator = operator("");
+    yard(&mut world);
+    let mut array = job("wk-n1", "array", "blue", 4, 1.0, 60.0);
+    array["due_s"] = serde_json::Value::Null;
+    world.submit(9_000, None, array);
+    let source = "fn avoid_types(job, types) { types }\nfn spot_share(job, cluster) { 0 }\n\
+                  fn admit(job, cluster) { 30 }";
+    world.ask(4_000, 0, offer("narrow", source, 1));
+    world.run(20_000);
+    let asks: Vec<u64> =
+        (0..3).map(|n| world.ask(20_100, n, AdminAsk::Explain("wk-s1".into()))).collect();
+    world.run(21_000);
+    let found = asks.iter().find(|a| world.answers[*a].status == 200).expect("one leads");
+    let found = body(&world, *found);
+    assert_eq!(found["taken"]["avoid_types"].as_array().map(Vec::len), Some(0), "{found}");
+    assert_eq!(found["taken"]["spot_share"], 1.0);
+    let accepted = |id: &str| world.jobs.iter().any(|j| j.id == id && j.accepted);
+    assert!(accepted("wk-s2"), "a service is never asked to come back");
+    assert!(!accepted("wk-n1"), "what is not production work may be");
+}
+
 /// Sources of plug-ins, sound and not, and what they advise.
 fn source() -> impl Strategy<Value = String> {
     prop_oneof![
@@ -179,15 +204,7 @@
     let play = |(seed, policy, plugins): (u64, String, Vec<Plugin>)| {
         let mut world = World::new(seed, ROUGH, 90_000);
         world.operator = operator(&policy);
-        for n in 0..5u64 {
-            let id = format!("wk-a{n}");
-            let cancel = (n % 3 == 2).then_some(20_000 + n * 5_000);
-            world.submit(500 + n * 4_000, cancel, job(&id, "array", "red", 8, 2.0, 6.0));
-            let id = format!("wk-g{n}");
-            world.submit(1_000 + n * 5_000, None, job(&id, "gang", "blue", 3, 2.0, 8.0));
-            let id = format!("wk-s{n}");
-            world.submit(200 + n * 2_000, None, job(&id, "service", "blue", 2, 1.0, 0.0));
-        }
+        mixed_load(&mut world, 5);
         for (n, (source, add, remove, node, precedence)) in plugins.into_iter().enumerate() {
             world.ask(add, node, offer(&format!("p{n}"), &source, precedence));
             let gone = AdminAsk::Change(format!("p{n}"), Step::Remove);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 use swiftsail_standin::world as standin;
 
-use standin::{Weather, World, job};
+use standin::{Weather, World, job, mixed_load};
 use swiftsail_core::node::{Action, Event, Node, Now};
 use swiftsail_wire::controllers::Beat;
 use swiftsail_wire::read;
@@ -11,20 +11,6 @@
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 const ROUGH: Weather = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
 
-/// A mixed load: arrays, gangs, services, some of them cancelled.
-fn load(world: &mut World) {
-    for n in 0..6u64 {
-        let id = format!("wk-a{n}");
-        let cancel = (n % 3 == 2).then_some(20_000 + n * 5_000);
-        world.submit(500 + n * 4_000, cancel, job(&id, "array", "red", 8, 2.0, 6.0));
-        let id = format!("wk-g{n}");
-        world.submit(1_000 + n * 5_000, None, job(&id, "gang", "blue", 3, 2.0, 8.0));
-        let id = format!("wk-s{n}");
-        let cancel = (n % 2 == 1).then_some(45_000 + n * 3_000);
-        world.submit(200 + n * 2_000, cancel, job(&id, "service", "blue", 2, 1.0, 0.0));
-    }
-}
-
 fn assert_over(world: &World, what: &str) {
     assert!(world.broken.is_empty(), "{what}: {:?}", world.broken);
     for job in &world.jobs {
@@ -42,7 +28,7 @@
 #[test]
 fn a_calm_day_runs_everything() {
     let mut world = World::new(1, CALM, 1_000);
-    load(&mut world);
+    mixed_load(&mut world, 6);
     world.run(150_000);
     assert_over(&world, "calm");
     assert_eq!(world.store.count("bind/"), 3, "only services that run are bound");
@@ -52,7 +38,7 @@
 fn rough_days_break_no_rule_and_everything_ends() {
     for seed in (0..16).chain([147]) {
         let mut world = World::new(seed, ROUGH, 90_000);
-        load(&mut world);
+        mixed_load(&mut world, 6);
         world.run(300_000);
         assert_over(&world, &format!("seed {seed}"));
         assert!(world.store.largest_value <= 8 * 1024, "value of {}", world.store.largest_value);
@@ -63,7 +49,7 @@
 #[test]
 fn the_checks_can_fail() {
     let mut world = World::new(3, CALM, 1_000);
-    load(&mut world);
+    mixed_load(&mut world, 6);
     world.run(40_000);
     assert!(world.broken.is_empty());
     assert!(world.plant_second_run(), "something runs by now");
