--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -55,6 +55,8 @@
         array["rank"] = "production".into();
         world.submit(500 + n * 5_000, None, array);
     }
+    // It never finds room, so plug-ins are asked about it in every round.
+    world.submit(3_000, None, job("wk-g0", "gang", "blue", 300, 1.0, 20.0));
 }
 
 #[test]
