Workers are shared among controllers; reports are passed on together, unchanged ones as a few numbers

Beyond a quarter of its memory in connections the leader now sends workers to the controller with the fewest, once a minute at most each; that one passes reports on, gathered for 100 ms, whole or, if nothing has changed since the last answered one, as four numbers. The leader alone answers: a start and a proof are what they are without it, and a machine on which anything is bound, stopped, exited or stray must show its report whole.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -71,6 +71,29 @@
 pub const LIST_PAGE: u32 = 200;
 /// Timeout of a relayed report, ms: below the 4 s a worker gives a report.
 pub const RELAY_TIMEOUT_MS: u64 = 2_500;
+/// Reports passed on in one message at most.
+pub const RELAY_MOST: usize = 64;
+/// Largest such message, bytes, counted roughly: below what a body may have.
+pub const RELAY_BYTES: usize = 40 * 1024;
+/// Bytes of a report in it, without its tasks, and of each task.
+pub const REPORT_BYTES: usize = 250;
+/// See `REPORT_BYTES`.
+pub const SHARD_BYTES: usize = 90;
+/// Time for which reports are gathered before they are passed on, ms, where workers are shared: one
+/// timer step, a small part of the 4 s that a worker waits.
+pub const RELAY_GATHER_MS: u64 = 100;
+/// Messages with reports on their way at once.
+pub const RELAYS_FLYING: usize = 4;
+/// Reports that wait to be passed on at most (memory); more are sent to the leader.
+pub const RELAYS_QUEUED: usize = 1_000;
+/// Memory of an open connection, KB: the web server's two buffers of 8 KB, and what belongs to them.
+pub const CONNECTION_KB: f64 = 20.0;
+/// Share of a controller's memory that workers' connections may take before they are shared.
+pub const CONNECTIONS_SHARE: f64 = 0.25;
+/// Workers by which the leader must be above its part before it sends one to another.
+pub const SHARE_SLACK: usize = 8;
+/// Time within which the leader does not send a worker away again, ms.
+pub const SEND_AGAIN_MS: u64 = 60_000;
 /// A worker that comes back within this time after it was sent to the leader, ms, could not
 /// reach it: its own timeout of 4 s and pauses of 1 s fit in it.
 pub const CAME_BACK_MS: u64 = 12_000;
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -4,6 +4,7 @@
 use crate::constants::*;
 use crate::job::{JobId, MachineId, Spec};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use swiftsail_wire::cloud::{Hull, Listed};
 use swiftsail_wire::workers::Report;
 
@@ -162,6 +163,12 @@
     pub reported: (u64, u64),
     /// When it was last heard.
     pub heard: Option<Time>,
+    /// Number of what its last whole report showed, if another controller passes its reports on.
+    pub shown: Option<u64>,
+    /// The controller that passes its reports on; none: it reports to the leader itself.
+    pub via: Option<Arc<str>>,
+    /// When it was last sent to another controller.
+    pub sent_at: Option<Time>,
     /// When this term first knew it.
     pub known_at: Time,
     /// When it was rented, as far as known.
@@ -201,6 +208,9 @@
             latest: (0, 0),
             reported: (0, 0),
             heard: None,
+            shown: None,
+            via: None,
+            sent_at: None,
             known_at: now,
             rented_at: now,
             recall_at: None,
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -92,7 +92,7 @@
         let era = self.term.era;
         self.store.forget(|p| p.era().is_none_or(|e| e == era));
         self.cloud.clear();
-        for (id, ..) in std::mem::take(&mut self.held_reports) {
+        for (id, _) in std::mem::take(&mut self.held_reports) {
             self.actions.push(Action::Reply(id, self.redirect()));
         }
         self.read_term();
@@ -235,8 +235,8 @@
         self.tell_term("begun", &self.settings.host_name.clone());
         self.follow_jobs(from, era);
         self.keep_types();
-        for (id, report, relayed) in std::mem::take(&mut self.held_reports) {
-            self.on_report(id, report, relayed);
+        for (id, report) in std::mem::take(&mut self.held_reports) {
+            self.on_report(id, report);
         }
     }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -23,6 +23,7 @@
 mod passes;
 mod peers;
 mod plugins;
+mod relay;
 mod requests;
 mod status;
 mod steer;
@@ -45,6 +46,7 @@
 use crate::term::{Phase, Term};
 use peers::Peer;
 use plugins::Plugins;
+use relay::Relays;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use requests::Requests;
@@ -54,7 +56,7 @@
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::Delivery;
 use swiftsail_policy::policy::Policy;
-use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::controllers::{Answers, Batch, Beat};
 use swiftsail_wire::workers::{Direct, Report};
 use workers::Passed;
 
@@ -113,16 +115,18 @@
     Tick,
     /// A user's request.
     User(RequestId, Ask),
-    /// A worker's report, and whether another controller has passed it on.
-    Report(RequestId, Box<Report>, bool),
+    /// A worker's report.
+    Report(RequestId, Box<Report>),
     /// A worker's answer to a direct command.
     Answer(Box<Report>),
     /// The state service answered, or not.
     Store(u64, Outcome),
     /// The cloud answered, or not.
     Cloud(Box<cloud::Call>, cloud::Outcome),
-    /// The leader's answer to a report passed on, or none.
-    Relayed(RequestId, Option<Reply>),
+    /// Reports that another controller passes on.
+    Batch(RequestId, Box<Batch>),
+    /// The leader's answers to reports passed on, or none.
+    Relayed(u64, Option<Answers>),
     /// Another controller's heartbeat, or its answer to ours.
     Beat(Beat),
     /// An operator's request.
@@ -142,8 +146,8 @@
     Cloud(cloud::Call),
     /// Send commands straight to a worker.
     Direct(String, Direct),
-    /// Pass a report on to the controller of that name.
-    Relay(RequestId, String, Box<Report>),
+    /// Pass reports on to the controller of that name; the number is of the message.
+    Relay(u64, String, Box<Batch>),
     /// Send a heartbeat to every other controller.
     Beat(Beat),
     /// Deliver events to a report hook.
@@ -188,7 +192,10 @@
     counts: BTreeMap<String, (u32, u32)>,
     peers: BTreeMap<String, Peer>,
     passed: HashMap<String, Passed>,
-    held_reports: Vec<(RequestId, Box<Report>, bool)>,
+    held_reports: Vec<(RequestId, Box<Report>)>,
+    relays: Relays,
+    /// Workers by the controller that they report to, this one under its own name.
+    loads: BTreeMap<Arc<str>, usize>,
     read_at: Time,
     beat_at: Time,
     following: bool,
@@ -232,6 +239,8 @@
             peers: BTreeMap::new(),
             passed: HashMap::new(),
             held_reports: Vec::new(),
+            relays: Relays::default(),
+            loads: BTreeMap::new(),
             read_at: 0,
             beat_at: 0,
             following: false,
@@ -269,7 +278,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::User(id, ask) => self.on_user(id, ask),
-            Event::Report(id, report, relayed) => self.on_report(id, report, relayed),
+            Event::Report(id, report) => self.on_report(id, report),
             Event::Answer(report) => self.on_answer(&report),
             Event::Store(id, outcome) => {
                 if let Some(end) = self.store.finish(id, outcome, now.steady) {
@@ -277,15 +286,14 @@
                 }
             }
             Event::Cloud(call, outcome) => self.on_cloud(&call, &outcome),
-            Event::Relayed(id, reply) => {
-                let reply = reply.filter(|r| r.status == 200).unwrap_or_else(|| self.redirect());
-                self.actions.push(Action::Reply(id, reply));
-            }
+            Event::Batch(id, batch) => self.on_batch(id, &batch),
+            Event::Relayed(number, answers) => self.on_relayed(number, answers),
             Event::Beat(beat) => self.on_beat(&beat),
             Event::Admin(id, ask) => self.on_admin(id, ask),
             Event::Delivered(name, taken) => self.host.delivered(&name, taken, now.steady),
         }
         self.place();
+        self.pass_reports_on();
         self.tell();
     }
 
@@ -330,6 +338,7 @@
         }
         if now >= self.beat_at + BEAT_MS {
             self.beat_at = now;
+            self.count_loads();
             self.actions.push(Action::Beat(self.beat()));
         }
         if let Some(leader) = &mut self.leader {
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -10,6 +10,7 @@
 pub(super) struct Peer {
     pub voucher: Voucher,
     pub leads: bool,
+    pub shares: bool,
 }
 
 impl Node {
@@ -22,6 +23,7 @@
             token: self.term.highest,
             leads: self.leads(),
             store_age_ms: if away { self.now.steady.saturating_sub(ok) } else { 0 },
+            shares: self.shares(),
             cluster: self.told_cluster(),
             counts: self.leader.as_ref().map(Tables::counts).unwrap_or_default(),
         }
@@ -41,7 +43,7 @@
         }
         let voucher =
             Voucher { heard: self.now.steady, store_age_ms: beat.store_age_ms, token: beat.token };
-        self.peers.insert(beat.node.clone(), Peer { voucher, leads: beat.leads });
+        self.peers.insert(beat.node.clone(), Peer { voucher, leads: beat.leads, shares: beat.shares });
     }
 
     /// Whether users should be sent here: not while this node alone is without the store.
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -22,27 +22,27 @@
         Reply::new(421, &Redirect { harbor: leader })
     }
 
-    pub(super) fn on_report(&mut self, id: RequestId, report: Box<Report>, relayed: bool) {
+    pub(super) fn on_report(&mut self, id: RequestId, report: Box<Report>) {
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
         }
         if self.loading.is_some() && self.held_reports.len() < HELD_REPORTS_MOST {
-            self.held_reports.push((id, report, relayed));
+            self.held_reports.push((id, report));
             return;
         }
         if !self.leads() {
-            // What another node has passed on is not passed on again: the two could disagree for
-            // ever on who leads.
-            if relayed {
-                return self.actions.push(Action::Reply(id, self.redirect()));
-            }
             return self.pass_on(id, report);
         }
         let reply = if !self.may_answer() {
             Reply::later("without the state service this node may not answer for the controllers")
+        } else if let Some(elsewhere) = self.share_out(&report) {
+            elsewhere
         } else if let Some(leader) = &mut self.leader {
             let types = self.types.as_deref().map_or(&[][..], Vec::as_slice);
             let orders = leader.on_report(&report, Source::Report, self.now.steady, types);
+            if let Some(machine) = leader.machines.get_mut(report.berth.as_str()) {
+                (machine.via, machine.shown) = (None, None);
+            }
             Reply::new(200, &orders)
         } else {
             self.redirect()
@@ -60,14 +60,14 @@
         let near = self.term.leader.as_ref().and_then(|l| {
             let peer = self.peers.get(l)?;
             let fresh = now.saturating_sub(peer.voucher.heard) <= BEAT_FRESH_MS;
-            (fresh && peer.leads).then(|| l.clone())
+            (fresh && peer.leads).then(|| (l.clone(), peer.shares))
         });
         if self.passed.len() >= RELAYED_MOST {
             self.passed.clear();
         }
         let passed = self.passed.entry(report.berth.clone()).or_default();
         let recent = |at: Time| at > 0 && now.saturating_sub(at) <= CAME_BACK_MS;
-        let Some(leader) = near else {
+        let Some((leader, shares)) = near else {
             // Where this node has lost the leader, a worker of its zone will not reach it either:
             // named again and again, the leader would keep it from ever trying the third node.
             let lost = self.term.leader.as_ref().is_some_and(|l| self.peers.contains_key(l));
@@ -79,6 +79,11 @@
             };
             return self.actions.push(Action::Reply(id, reply));
         };
+        if shares && self.relays.room() {
+            // Where workers are shared each stays with the node that it has found.
+            *passed = Passed::default();
+            return self.relays.push(id, report, &leader, now);
+        }
         if now >= passed.relay_until && recent(passed.redirected) {
             passed.relay_until = now + RELAY_MS;
         } else if now >= passed.relay_until && recent(passed.relayed) {
@@ -88,7 +93,7 @@
         }
         passed.relayed = now;
         passed.redirected = 0;
-        self.actions.push(Action::Relay(id, leader, report));
+        self.relays.push(id, report, &leader, now);
     }
 
     pub(super) fn on_answer(&mut self, report: &Report) {
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -85,6 +85,33 @@
         orders
     }
 
+    /// Takes a report that shows the same as the machine's last whole one. False: it must come whole,
+    /// since something is bound, stopped, exited or stray there, or this leader does not know what the
+    /// last one showed. Otherwise it says no more than that all goes on, and nothing is ordered.
+    pub fn on_same(&mut self, id: &str, at: (u64, u64), shown: u64, now: Time) -> bool {
+        let Tables { machines, jobs, .. } = self;
+        let Some(machine) = machines.get_mut(id) else { return false };
+        let quiet = |((job, task), launch): (&(JobId, u32), &u64)| {
+            let attempt = jobs.get(job).and_then(|j| j.attempts.get(task));
+            attempt.is_some_and(|a| {
+                a.launch == *launch && a.seen && a.stop.is_none() && a.occupies() && !a.given_up
+            })
+        };
+        let same = machine.shown == Some(shown)
+            && machine.standing() == Standing::Ready
+            && machine.latest.0 == at.0
+            && machine.strays.is_empty()
+            && machine.recall_at.is_none()
+            && machine.tasks.iter().all(quiet);
+        // An older one changes nothing, as ever.
+        if same && at > machine.latest {
+            machine.latest = at;
+            machine.reported = at;
+            machine.heard = Some(now);
+        }
+        same
+    }
+
     /// Compares what a machine holds with the attempts bound to it.
     fn reconcile(
         &mut self,
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -26,7 +26,7 @@
 use swiftsail_policy::outbox::Delivery;
 use swiftsail_wire as wire;
 use swiftsail_wire::cloud::{Berths, Hull};
-use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::controllers::{Answers, Batch, Beat};
 use swiftsail_wire::workers::{Direct, Orders, Report};
 
 /// Where the steady clock of the stand-in begins.
@@ -99,7 +99,7 @@
     Direct(usize, u64, String, Box<Direct>),
     Beat(usize, u64, usize, Beat),
     WorkerStep(String),
-    Relay(usize, u64, u64, usize, Box<Report>),
+    Relay(usize, u64, u64, usize, Box<Batch>),
     Report(usize, Box<Report>, u64),
     Orders(String, u64, u64, Option<Box<Reply>>),
     User(usize, u8),
@@ -314,7 +314,9 @@
                     self.at(at, Ev::Orders(name, watch, sent, reply));
                 }
                 Some(Asker::Relay(to, to_life, to_id)) => {
-                    let event = Box::new(Event::Relayed(to_id, Some(reply)));
+                    let good = (reply.status == 200).then_some(reply.body);
+                    let answers = good.and_then(|body| wire::read::<Answers>(&body).ok());
+                    let event = Box::new(Event::Relayed(to_id, answers));
                     self.at(at, Ev::ToNode(to, to_life, event));
                 }
                 Some(Asker::User(job, what, sent)) => {
@@ -412,7 +414,7 @@
                 self.next_request += 1;
                 let (id, life) = (self.next_request, self.lives[to]);
                 self.askers.insert((to, life, id), Asker::Relay(from, from_life, from_id));
-                self.handle(to, life, Event::Report(id, report, true));
+                self.handle(to, life, Event::Batch(id, report));
             }
             Ev::Report(n, report, sent) => {
                 let life = self.lives[n];
@@ -424,7 +426,7 @@
                 let id = self.next_request;
                 let asker = Asker::Worker(report.berth.clone(), report.watch, sent);
                 self.askers.insert((n, life, id), asker);
-                self.handle(n, life, Event::Report(id, report, false));
+                self.handle(n, life, Event::Report(id, report));
             }
             Ev::Orders(name, watch, sent, reply) => {
                 let now = self.now;
--- a/crates/wire/src/controllers.rs
+++ b/crates/wire/src/controllers.rs
@@ -1,12 +1,13 @@
 //! Between controllers.
 
+use crate::workers::{Command, Report};
 use serde::{Deserialize, Serialize};
 
 /// Paths of this interface.
 pub mod path {
     /// Heartbeats.
     pub const BEAT: &str = "/beat";
-    /// A worker's report passed on to the leader; its answer goes back as it is.
+    /// Workers' reports passed on to the leader; its answers go back as they are.
     pub const RELAY: &str = "/relay";
 }
 
@@ -21,6 +22,9 @@
     pub leads: bool,
     /// Time since the state service last answered it, ms.
     pub store_age_ms: u64,
+    /// Of the leader: others are to serve workers for good, passing their reports on.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub shares: bool,
     /// Of the leader: counts for display, as (job, done, running).
     #[serde(default)]
     pub counts: Vec<(String, u32, u32)>,
@@ -29,3 +33,45 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cluster: Vec<f64>,
 }
+
+/// Workers' reports passed on together.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// Who passes them on.
+    pub node: String,
+    /// The reports, in the order in which they came.
+    pub reports: Vec<Passed>,
+}
+
+/// A report passed on: whole, or as one that shows the same as the machine's last.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Passed {
+    /// Whole.
+    Whole {
+        /// The report.
+        report: Box<Report>,
+        /// Number of what it shows.
+        shown: u64,
+    },
+    /// The same as the last that the leader answered.
+    Same {
+        /// The machine's name.
+        berth: String,
+        /// Session.
+        watch: u64,
+        /// Message number.
+        tick: u64,
+        /// Number of what it shows.
+        shown: u64,
+    },
+}
+
+/// The leader's answers, in the order of the reports.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Answers {
+    /// Token.
+    pub helm: u64,
+    /// One for each report; none: it must be passed on whole.
+    pub orders: Vec<Option<Vec<Command>>>,
+}
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -13,7 +13,7 @@
 }
 
 /// A report.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The machine's name.
     pub berth: String,
@@ -45,7 +45,7 @@
 }
 
 /// A task in a report.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Shard {
     /// Job and task number.
     pub shard: String,
@@ -62,7 +62,7 @@
 }
 
 /// State of a task on its machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Phase {
     /// Waits for its image.
     #[serde(rename = "fetching")]
@@ -85,7 +85,7 @@
 }
 
 /// Why a task exited.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Cause {
     /// Completed.
     #[serde(rename = "done")]
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -15,7 +15,7 @@
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::Delivery;
 use swiftsail_wire::cloud as cloud_wire;
-use swiftsail_wire::controllers::{self as controllers_wire, Beat};
+use swiftsail_wire::controllers::{self as controllers_wire, Answers, Batch, Beat};
 use swiftsail_wire::state as state_wire;
 use swiftsail_wire::workers::{self as workers_wire, Direct, Report};
 use swiftsail_wire::{read, write};
@@ -41,8 +41,10 @@
 pub enum Asked {
     /// By a user.
     User(Ask),
-    /// By a worker; the flag tells that another controller has passed it on.
-    Report(Box<Report>, bool),
+    /// By a worker.
+    Report(Box<Report>),
+    /// By another controller that passes reports on.
+    Batch(Box<Batch>),
     /// By an operator.
     Admin(AdminAsk),
 }
@@ -129,19 +131,20 @@
                     }
                 });
             }
-            Action::Relay(id, leader, report) => {
+            Action::Relay(number, leader, batch) => {
                 let other = self.settings.others.iter().find(|o| o.host_name == leader);
                 let Some(other) = other else {
-                    return to.do_send(Happened(Event::Relayed(id, None)));
+                    return to.do_send(Happened(Event::Relayed(number, None)));
                 };
                 let url = format!("http://{}{}", other.address, controllers_wire::path::RELAY);
                 let client = self.long.clone();
                 actix::spawn(async move {
                     let sent = client.post(url).timeout(Duration::from_millis(RELAY_TIMEOUT_MS));
-                    let reply = send(sent, Some(write(&report))).await.ok();
-                    let reply =
-                        reply.map(|(status, body)| Reply { status, body, retry_after: None });
-                    to.do_send(Happened(Event::Relayed(id, reply)));
+                    let answers = match send(sent, Some(write(&batch))).await {
+                        Ok((200, body)) => read::<Answers>(&body).ok(),
+                        _ => None,
+                    };
+                    to.do_send(Happened(Event::Relayed(number, answers)));
                 });
             }
             Action::Deliver(delivery) => {
@@ -189,7 +192,8 @@
         self.requests.insert(id, answer);
         let event = match msg.0 {
             Asked::User(ask) => Event::User(id, ask),
-            Asked::Report(report, relayed) => Event::Report(id, report, relayed),
+            Asked::Report(report) => Event::Report(id, report),
+            Asked::Batch(batch) => Event::Batch(id, batch),
             Asked::Admin(ask) => Event::Admin(id, ask),
         };
         self.happen(event, ctx);
--- a/src/front.rs
+++ b/src/front.rs
@@ -7,6 +7,7 @@
 use actix_web::error::InternalError;
 use actix_web::http::StatusCode;
 use actix_web::{App, FromRequest, HttpRequest, HttpResponse, HttpServer, web};
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
 use swiftsail_core::node::{Ask, Reply};
@@ -59,16 +60,20 @@
 }
 
 async fn report(to: Node, body: Body) -> HttpResponse {
-    take_report(to, body, false).await
+    take::<workers::Report>(to, body, |report| Asked::Report(Box::new(report))).await
 }
 
-async fn take_report(to: Node, body: Body, relayed: bool) -> HttpResponse {
+async fn take<T: DeserializeOwned>(
+    to: Node,
+    body: Body,
+    asked: impl FnOnce(T) -> Asked,
+) -> HttpResponse {
     let body = match body {
         Ok(body) => body,
         Err(e) => return unread(&e),
     };
-    match read::<workers::Report>(&body) {
-        Ok(report) => ask(&to, Asked::Report(Box::new(report), relayed)).await,
+    match read::<T>(&body) {
+        Ok(found) => ask(&to, asked(found)).await,
         Err(e) => respond(Reply::new(400, &Problem { error: e.to_string() }), FORMAT),
     }
 }
@@ -94,7 +99,7 @@
 }
 
 async fn relay(_: FromController, to: Node, body: Body) -> HttpResponse {
-    take_report(to, body, true).await
+    take::<controllers::Batch>(to, body, |batch| Asked::Batch(Box::new(batch))).await
 }
 
 async fn beat(_: FromController, to: Node, body: Body) -> HttpResponse {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -91,14 +91,14 @@
             recall_s: None,
             shards: Vec::new(),
         };
-        node.handle(Event::Report(1, Box::new(report), false), now);
+        node.handle(Event::Report(1, Box::new(report)), now);
         node.take_actions().into_iter().find_map(|action| match action {
             Action::Reply(1, reply) => {
                 assert_eq!(reply.status, 421);
                 let redirect = read::<Redirect>(&reply.body).expect("our own message");
                 Some(redirect.harbor.unwrap_or("next".into()))
             }
-            Action::Relay(1, to, _) => Some(format!("relayed to {to}")),
+            Action::Relay(_, to, _) => Some(format!("relayed to {to}")),
             _ => None,
         })
     };
