A pass costs less and rests after a long one; a round offers the 2,000 soonest lines

Profiled by instructions: hashing and rounding took a third. A pass that takes more than 0.4 s on the platform's share is followed by a rest as long, and a round offers at most 2,000 lines, the soonest.

--- a/crates/core/src/chance/mod.rs
+++ b/crates/core/src/chance/mod.rs
@@ -91,7 +91,8 @@
         for (i, a) in self.mass.iter().enumerate().filter(|(_, a)| **a > 0.0) {
             let base = i as f64 * self.step;
             for (j, b) in other.mass.iter().enumerate() {
-                let bin = ((base + j as f64 * other.step) / step).round() as usize;
+                // Never below 0: adding a half and cutting rounds, without a call.
+                let bin = ((base + j as f64 * other.step) / step + 0.5) as usize;
                 mass[bin.min(BINS - 1)] += a * b;
             }
         }
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -289,6 +289,18 @@
 pub const PREEMPT_WAIT_MS: u64 = 9_000;
 /// Jobs of one level placed in one pass at most (processor).
 pub const PASS_JOBS: usize = 200;
+/// Lines that a round offers at most, the soonest first (processor): at a few thousand slots each
+/// chooser finds what it wants among them.
+pub const LINES_MOST: usize = 2_000;
+/// Time of a whole core that a place looked at by a chooser takes, us, measured.
+pub const LOOK_US: f64 = 0.25;
+/// Time of a whole core that a score takes, us, measured.
+pub const SCORE_US: f64 = 5.0;
+/// A pass that takes longer than this by these figures, on the share of a core that the platform
+/// gives, ms, is followed by a rest: reports and the term must have their turn.
+pub const LONG_PASS_MS: f64 = 400.0;
+/// The next one begins only after this many times as long as it took.
+pub const PASS_REST: f64 = 2.0;
 /// Tasks bound in one pass at most; the next goes on (processor).
 pub const PASS_BINDS: usize = 300;
 /// Heads that began within one such step end alike in a round's arithmetic, ms: the round's own
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -185,6 +185,8 @@
     /// Attributes of the cluster as the leader last told them.
     heard: Vec<f64>,
     scored: u64,
+    /// No pass before that: the last one cost as much.
+    rest_until: Time,
     status_at: Time,
     requests: Requests,
     finals: HashMap<JobId, FinalRecord>,
@@ -231,6 +233,7 @@
             plugins: Plugins::new(operator.plugins.enabled),
             heard: Vec::new(),
             scored: 0,
+            rest_until: 0,
             status_at: 0,
             requests: Requests::default(),
             finals: HashMap::new(),
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -18,6 +18,8 @@
     pub bound: usize,
     /// Scores computed: what it cost, whatever the processor's speed.
     pub scored: u64,
+    /// Places looked at.
+    pub looked: u64,
     /// Machines to rent, if the pass was a round and came to its end.
     pub wishes: Option<Vec<Wish>>,
 }
@@ -32,13 +34,13 @@
         tables.count_rooms(view.types);
     }
     let mut plan = placement::plan(tables, view, full);
-    let (wishes, scored) = (plan.wishes.take(), plan.scored);
+    let (wishes, scored, looked) = (plan.wishes.take(), plan.scored, plan.looked);
     let bound = promoted + apply(tables, &mut guard, view, plan);
     if wishes.is_some() {
         tables.round_at = view.now;
         tables.misses = 0;
     }
-    Passed { bound, scored, wishes }
+    Passed { bound, scored, looked, wishes }
 }
 
 /// Asks for machines, the most wanted first. A rental that has not left yet takes more in, since the
@@ -94,7 +96,7 @@
     /// Plays a pass, if one is due.
     pub(super) fn place(&mut self) {
         let now = self.now.steady;
-        let Some(leader) = &self.leader else { return };
+        let Some(leader) = self.leader.as_ref().filter(|_| now >= self.rest_until) else { return };
         let Some(full) = placement::want_pass(leader, self.steering.round_ms, now) else { return };
         self.steer(full);
         let Some(leader) = &mut self.leader else { return };
@@ -103,6 +105,12 @@
         let view = View { now, settings: &settings, types: &types, steering: &self.steering };
         let passed = pass(leader, view, full);
         self.scored += passed.scored;
+        // However large the cluster, placement leaves the processor to leases and the term.
+        let us = passed.looked as f64 * LOOK_US + passed.scored as f64 * SCORE_US;
+        let wall_ms = us / MS_PER_S / settings.settings.machine_limits.cores;
+        if wall_ms > LONG_PASS_MS {
+            self.rest_until = now + (wall_ms * PASS_REST) as u64;
+        }
         self.host.end_pass(passed.scored);
         rent(leader, &mut self.cloud, passed.wishes.unwrap_or_default(), now);
         if passed.bound > 0 {
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -8,7 +8,7 @@
 use crate::job::*;
 use crate::machine::Room;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 
 /// Chance and completion of a task at a place.
@@ -50,7 +50,8 @@
     heap: BinaryHeap<(Rank, EndId)>,
     known: usize,
     lines: bool,
-    scores: HashMap<(EndId, bool), Score>,
+    /// By end, without and with its image there.
+    scores: Vec<[Option<Score>; 2]>,
 }
 
 impl Chooser {
@@ -113,7 +114,7 @@
             heap: BinaryHeap::new(),
             known: 0,
             lines: false,
-            scores: HashMap::new(),
+            scores: Vec::new(),
             spec,
         };
         let mut allowed: Vec<bool> = self.types.iter().map(|t| t.allows(&c.spec)).collect();
@@ -171,8 +172,8 @@
         let place = &self.places[index];
         let (end, kind) = (place.end, place.kind);
         let here = place.images.contains(&c.image);
-        if let Some(score) = c.scores.get(&(end, here)) {
-            return *score;
+        if let Some(score) = c.scores.get(end).and_then(|s| s[usize::from(here)]) {
+            return score;
         }
         self.out.scored += 1;
         let t = &self.types[kind];
@@ -185,15 +186,19 @@
             let end = before.convolve(&run).later(fetch);
             Score { chance: c.due.map_or(1.0, |d| end.chance(d as f64)), mean: end.mean() }
         };
-        c.scores.insert((end, here), score);
+        if c.scores.len() <= end {
+            c.scores.resize(end + 1, [None; 2]);
+        }
+        c.scores[end][usize::from(here)] = Some(score);
         score
     }
 
     fn rank(&mut self, c: &mut Chooser, index: usize) -> (Rank, EndId) {
         let score = self.score(c, index);
         let place = &self.places[index];
-        let chance = -(score.chance * 50.0).round() as i64;
-        let mean = (score.mean / MS_PER_S).round() as i64;
+        // Neither is below 0: adding a half and cutting rounds, without a call.
+        let chance = -((score.chance * 50.0 + 0.5) as i64);
+        let mean = (score.mean / MS_PER_S + 0.5) as i64;
         (Reverse((chance, mean, (place.room.cpus * 1e3) as i64, index)), place.end)
     }
 
@@ -203,6 +208,7 @@
         while c.known < self.places.len() {
             let index = c.known;
             c.known += 1;
+            self.out.looked += 1;
             if self.suits(c, &self.places[index]) {
                 let entry = self.rank(c, index);
                 c.heap.push(entry);
--- a/crates/core/src/placement/ends.rs
+++ b/crates/core/src/placement/ends.rs
@@ -2,7 +2,7 @@
 
 use crate::chance::Pmf;
 use crate::job::JobId;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 /// Number of an end in [`Ends`].
 pub(super) type EndId = usize;
@@ -23,7 +23,7 @@
 /// The ends of one round, each computed once.
 #[derive(Debug, Default)]
 pub(super) struct Ends {
-    known: HashMap<Alike, EndId>,
+    known: FxHashMap<Alike, EndId>,
     all: Vec<Pmf>,
 }
 
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -172,6 +172,8 @@
             return;
         }
         let cap = self.view.steering.line_cap;
+        self.out.looked += slots.len() as u64;
+        let mut lines: Vec<(u64, Place)> = Vec::new();
         for (index, slot, free) in slots {
             let Some(head) = self.tables.jobs.get(&slot.1) else { continue };
             let mut size = Room::of(&head.spec);
@@ -186,8 +188,15 @@
             }
             let place =
                 Place { what: What::Line(slot), room: size, end, ..self.places[index].clone() };
-            self.places.push(place);
+            lines.push((self.ends.get(end).mean() as u64, place));
         }
+        // Every chooser looks at every place: of very many lines the soonest are enough.
+        if lines.len() > LINES_MOST {
+            lines.select_nth_unstable_by_key(LINES_MOST, |l| l.0);
+            lines.truncate(LINES_MOST);
+            lines.sort_by(|a, b| a.1.machine.cmp(&b.1.machine).then(a.0.cmp(&b.0)));
+        }
+        self.places.extend(lines.into_iter().map(|l| l.1));
         for (wish, asked) in tables.rentals.asked() {
             let Some(kind) = types.iter().position(|t| t.name == wish.kind) else { continue };
             let up = (asked as f64 + types[kind].boot_ms).max(now as f64);
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -67,6 +67,8 @@
     pub cut_short: bool,
     /// Scores computed: what the pass cost, whatever the processor's speed.
     pub scored: u64,
+    /// Places looked at by choosers, and slots whose end was worked out: the rest of its cost.
+    pub looked: u64,
 }
 
 /// Whether a pass is due: on a change (false), or when a round's time has come (true).
--- a/examples/pass_cost.rs
+++ b/examples/pass_cost.rs
@@ -109,6 +109,7 @@
         let mut tables = tables(&types);
         let (mut policy, mut steering) = (Policy::default(), Steering::default());
         let (mut asking_s, mut pass_s, mut now) = (0.0, 0.0, BEGIN);
+        let (mut looked, mut scored) = (0, 0);
         for n in 0..PASSES {
             now += 2_000;
             report(&mut tables, &types, u64::from(n) + 2, now);
@@ -124,6 +125,8 @@
             let passed = node::pass(&mut tables, view, true);
             pass_s += begin.elapsed().as_secs_f64();
             host.end_pass(passed.scored);
+            looked += passed.looked;
+            scored += passed.scored;
         }
         let shown = host.show();
         let calls: u64 = shown.iter().map(|p| p.calls).sum();
@@ -137,6 +140,11 @@
             ops as f64 / passes,
             held
         );
+        println!(
+            "          a pass looks at {} places and computes {} scores",
+            looked / u64::from(PASSES),
+            scored / u64::from(PASSES)
+        );
         for plugin in shown.iter().filter(|p| p.record.state != State::Active) {
             println!(
                 "          {} is {:?}: {:?}",
