Tidy: one place says that others are planned at once, one branch sends a refused report to the leader

plan_again stood unused while its line was written twice; two branches of the answers to reports passed on did the same.

--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -130,11 +130,8 @@
                     self.relays.known.insert(item.report.berth, known);
                     self.answer(item.request, Reply::new(200, &Orders { helm, orders }));
                 }
-                None if item.whole => {
-                    let reply = self.redirect();
-                    self.answer(item.request, reply);
-                }
-                None if now >= item.since + RELAY_TIMEOUT_MS => {
+                // Whole it was refused, or there is no time left to pass it on whole.
+                None if item.whole || now >= item.since + RELAY_TIMEOUT_MS => {
                     let reply = self.redirect();
                     self.answer(item.request, reply);
                 }
@@ -195,8 +192,8 @@
 
     /// Whether this node leads and the workers are too many for it alone.
     pub(super) fn shares(&self) -> bool {
-        let heard = |l: &crate::tables::Tables| l.machines.len() > self.own_most();
-        self.settings.controllers() > 1 && self.leader.as_ref().is_some_and(heard)
+        let machines = self.leader.as_ref().map_or(0, |l| l.machines.len());
+        self.settings.controllers() > 1 && machines > self.own_most()
     }
 
     /// Counts workers by the controller that they report to.
--- a/crates/core/src/tables/rentals.rs
+++ b/crates/core/src/tables/rentals.rs
@@ -171,7 +171,7 @@
         self.happenings.note("rental", what, &wish.kind, Some(&wish.zone));
         if (names.len() as u32) < wish.number {
             self.rentals.refuse(wish.market(), now);
-            self.round_at = 0;
+            self.plan_again();
         } else {
             self.rentals.refused.remove(&wish.market());
         }
@@ -193,6 +193,6 @@
         self.happenings.note("rental", "no capacity", &wish.kind, Some(&wish.zone));
         tracing::info!(kind = %wish.kind, zone = %wish.zone, spot = wish.spot, "no capacity");
         self.rentals.refuse(wish.market(), now);
-        self.round_at = 0;
+        self.plan_again();
     }
 }
