--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -39,8 +39,6 @@
 pub const STORE_BACKOFF_MS: u64 = 200;
 /// Longest pause after the store refused or was silent, ms.
 pub const STORE_BACKOFF_MOST_MS: u64 = 1_500;
-/// Most calls waiting for the store's budget; further user calls are refused (memory).
-pub const STORE_QUEUE_MOST: usize = 600;
 /// Most calls to the store in flight at once (sockets, memory).
 pub const STORE_IN_FLIGHT_MOST: usize = 24;
 /// Share of the platform's state limits that all controllers together use: the rest absorbs
@@ -84,12 +82,19 @@
 pub const RELAY_GATHER_MS: u64 = 100;
 /// Messages with reports on their way at once.
 pub const RELAYS_FLYING: usize = 4;
-/// Reports that wait to be passed on at most (memory); more are sent to the leader.
-pub const RELAYS_QUEUED: usize = 1_000;
-/// Memory of an open connection, KB: the web server's two buffers of 8 KB, and what belongs to them.
-pub const CONNECTION_KB: f64 = 20.0;
+/// Bytes of a machine in it whose unchanged reports were answered under a duty.
+pub const WELL_BYTES: usize = 40;
+/// Time between two tellings of those, ms: a small part of the third of a lease after which a machine
+/// that is not heard is given nothing new.
+pub const SUMMARY_MS: u64 = 1_000;
+/// Machines named at once as those to be seen whole.
+pub const LOOK_MOST: usize = 500;
 /// Share of a controller's memory that workers' connections may take before they are shared.
-pub const CONNECTIONS_SHARE: f64 = 0.25;
+pub const SHARE_ABOVE: f64 = 0.25;
+/// Share of its processor that workers may cost the leader before they are shared.
+pub const SHARE_LOAD: f64 = 0.35;
+/// Share of the processor by which the leader must be busier than another before it sends workers there.
+pub const LOAD_SLACK: f64 = 0.12;
 /// Part of a controller's workers by which the leader must be above its own before it sends one to
 /// another: a tenth, and one.
 pub const SHARE_SLACK: usize = 10;
@@ -105,8 +110,6 @@
 pub const RELAYED_MOST: usize = 4_000;
 /// Calls to the cloud in flight at once (sockets).
 pub const CLOUD_IN_FLIGHT_MOST: usize = 8;
-/// Reports held while a new leader reads the store (memory).
-pub const HELD_REPORTS_MOST: usize = 500;
 /// Conflicts after which a cancellation is given back to its user.
 pub const CANCEL_TRIES: u32 = 5;
 
@@ -131,8 +134,6 @@
 pub const PLUGINS_AGAIN_MS: u64 = 3_000;
 /// Jobs whose counts a heartbeat tells (size of the message).
 pub const COUNTS_MOST: usize = 1_000;
-/// Final answers a node keeps in its cache.
-pub const FINALS_CACHED: usize = 4_000;
 /// Pause before a failed task is tried again, ms, doubled with each failure.
 pub const RETRY_MS: u64 = 1_000;
 /// Longest such pause, ms.
@@ -216,6 +217,9 @@
 pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
 /// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
 pub const RENT_WAIT_MS: f64 = 120_000.0;
+/// While few more machines can be led, a machine itself weighs as much as this share of the price of a
+/// task that fills it: one that holds four tasks then wins unless it costs a fifth more for each.
+pub const SCARCE_COST: f64 = 0.3;
 /// A machine that should be up by now is planned to be so after this, ms.
 pub const SOON_MS: f64 = 2_000.0;
 /// Boot time taken for a machine of an unknown type, ms.
@@ -292,6 +296,29 @@
 /// Lines that a round offers at most, the soonest first (processor): at a few thousand slots each
 /// chooser finds what it wants among them.
 pub const LINES_MOST: usize = 2_000;
+/// Jobs of one level that a pass places at least, however little memory there is.
+pub const PASS_JOBS_LEAST: usize = 20;
+/// Memory of a place that a chooser looks at, bytes: its rank, and the scores of its end with and without
+/// the image.
+pub const PLACE_BYTES: usize = 32;
+/// Share of the processor above which a measurement of it is not believed: no process gets more than its
+/// share for long.
+pub const SHARE_BELIEVED: f64 = 1.5;
+/// What events cost, us of a whole core, fitted to what simulated machines were charged: a worker's
+/// report or a user's request over HTTP and its answer; ...
+pub const REPORT_US: f64 = 32.0;
+/// ... each task in a report; ...
+pub const SHARD_US: f64 = 0.6;
+/// ... a call to or from another service or controller; ...
+pub const CALL_US: f64 = 45.0;
+/// ... a report passed on; ...
+pub const PASSED_US: f64 = 4.0;
+/// ... a machine told to be well; ...
+pub const WELL_US: f64 = 2.5;
+/// ... a timer step, ...
+pub const TICK_US: f64 = 40.0;
+/// ... and in it each machine.
+pub const TICK_MACHINE_US: f64 = 0.15;
 /// Time of a whole core that a place looked at by a chooser takes, us, measured.
 pub const LOOK_US: f64 = 0.25;
 /// Time of a whole core that a score takes, us, measured.
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod admin;
 mod calls;
 mod chunks;
+mod effort;
 mod lead;
 mod ledger;
 mod passes;
@@ -52,6 +53,9 @@
 use requests::Requests;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use swiftsail_overload::budget::Budget;
+use swiftsail_overload::headroom::Load;
+use swiftsail_overload::pressure::Pressure;
 use swiftsail_policy::host::Host;
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::Delivery;
@@ -133,6 +137,8 @@
     Admin(RequestId, AdminAsk),
     /// A delivery to a report hook has ended: of which plug-in, and whether it was taken.
     Delivered(String, bool),
+    /// The process has used so much of a core, us, over so much time, ms.
+    Spent(u64, u64),
 }
 
 /// What a node wants done.
@@ -185,6 +191,23 @@
     /// Attributes of the cluster as the leader last told them.
     heard: Vec<f64>,
     scored: u64,
+    /// What each part may hold.
+    budget: Budget,
+    /// How far behind this node is.
+    pressure: Pressure,
+    /// How much of its processor it uses.
+    load: Load,
+    /// Of that, what the machines cost, whatever is placed.
+    upkeep: Load,
+    /// When the platform last told what the process uses.
+    measured_at: Time,
+    /// What this node's work has cost by count, us of a whole core: events, and passes.
+    cost_us: f64,
+    pass_us: f64,
+    /// When they were last looked at, and what they were then.
+    counted: (Time, f64, f64),
+    ticked_at: Time,
+    bound_told_at: Time,
     /// No pass before that: the last one cost as much.
     rest_until: Time,
     status_at: Time,
@@ -198,6 +221,8 @@
     relays: Relays,
     /// Workers by the controller that they report to, this one under its own name.
     loads: BTreeMap<Arc<str>, usize>,
+    /// Workers are shared among controllers.
+    sharing: bool,
     read_at: Time,
     beat_at: Time,
     following: bool,
@@ -217,12 +242,13 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let (rps, write_rps) = rates(&settings, false);
         let cloud = Cloud::new(settings.settings.cloud.rps, now.steady);
+        let limits = settings.settings.machine_limits.clone();
         let mut node = Node {
             process: rng.random::<u64>() >> 1,
             now,
             rng,
             term: Term::default(),
-            store: Store::new(rps, write_rps, now.steady),
+            store: Store::new(rps, write_rps, now.steady).seeded(seed),
             cloud,
             leader: None,
             loading: None,
@@ -233,6 +259,16 @@
             plugins: Plugins::new(operator.plugins.enabled),
             heard: Vec::new(),
             scored: 0,
+            budget: Budget::of(limits.mem_mb, limits.max_connections),
+            pressure: Pressure::new(now.steady),
+            load: Load::default(),
+            upkeep: Load::default(),
+            measured_at: 0,
+            cost_us: 0.0,
+            pass_us: 0.0,
+            counted: (now.steady, 0.0, 0.0),
+            ticked_at: 0,
+            bound_told_at: 0,
             rest_until: 0,
             status_at: 0,
             requests: Requests::default(),
@@ -244,6 +280,7 @@
             held_reports: Vec::new(),
             relays: Relays::default(),
             loads: BTreeMap::new(),
+            sharing: false,
             read_at: 0,
             beat_at: 0,
             following: false,
@@ -278,6 +315,7 @@
     /// Takes an event.
     pub fn handle(&mut self, event: Event, now: Now) {
         self.now = now;
+        self.count_cost(&event);
         match event {
             Event::Tick => self.tick(),
             Event::User(id, ask) => self.on_user(id, ask),
@@ -294,6 +332,7 @@
             Event::Beat(beat) => self.on_beat(&beat),
             Event::Admin(id, ask) => self.on_admin(id, ask),
             Event::Delivered(name, taken) => self.host.delivered(&name, taken, now.steady),
+            Event::Spent(us, over_ms) => self.on_spent(us, over_ms),
         }
         self.place();
         self.pass_reports_on();
@@ -317,6 +356,7 @@
 
     fn tick(&mut self) {
         let now = self.now.steady;
+        self.feel(now);
         if let Phase::Vacant(at) = self.term.phase()
             && now >= at
         {
@@ -362,7 +402,7 @@
     fn remember_final(&mut self, id: &JobId, record: FinalRecord) {
         if self.finals.insert(id.clone(), record).is_none() {
             self.final_order.push_back(id.clone());
-            if self.final_order.len() > FINALS_CACHED
+            if self.final_order.len() > self.budget.finals
                 && let Some(oldest) = self.final_order.pop_front()
             {
                 self.finals.remove(&oldest);
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -45,8 +45,7 @@
 
 /// Asks for machines, the most wanted first. A rental that has not left yet takes more in, since the
 /// cloud's calls a second are few.
-pub fn rent(tables: &mut Tables, cloud: &mut Cloud, mut wishes: Vec<Wish>, now: Time) {
-    wishes.sort_by_key(|w| Reverse(w.number));
+pub fn rent(tables: &mut Tables, cloud: &mut Cloud, wishes: Vec<Wish>, now: Time) {
     for wish in wishes {
         let mut left = wish.number;
         for (charter, asked) in tables.rentals.growing(&wish) {
@@ -97,8 +96,11 @@
     pub(super) fn place(&mut self) {
         let now = self.now.steady;
         let Some(leader) = self.leader.as_ref().filter(|_| now >= self.rest_until) else { return };
-        let Some(full) = placement::want_pass(leader, self.steering.round_ms, now) else { return };
+        let round_ms = self.pressure.stretched(self.steering.round_ms);
+        let pass_ms = self.pressure.stretched(PASS_MS);
+        let Some(full) = placement::want_pass(leader, pass_ms, round_ms, now) else { return };
         self.steer(full);
+        self.steering.bounds = self.bounds();
         let Some(leader) = &mut self.leader else { return };
         let Some(types) = self.types.clone() else { return };
         let settings = self.settings.clone();
@@ -107,12 +109,17 @@
         self.scored += passed.scored;
         // However large the cluster, placement leaves the processor to leases and the term.
         let us = passed.looked as f64 * LOOK_US + passed.scored as f64 * SCORE_US;
+        self.pass_us += us;
         let wall_ms = us / MS_PER_S / settings.settings.machine_limits.cores;
         if wall_ms > LONG_PASS_MS {
             self.rest_until = now + (wall_ms * PASS_REST) as u64;
         }
         self.host.end_pass(passed.scored);
-        rent(leader, &mut self.cloud, passed.wishes.unwrap_or_default(), now);
+        let mut wishes = passed.wishes.unwrap_or_default();
+        wishes.sort_by_key(|w| Reverse(w.number));
+        self.keep_to_headroom(&mut wishes);
+        let Some(leader) = &mut self.leader else { return };
+        rent(leader, &mut self.cloud, wishes, now);
         if passed.bound > 0 {
             leader.write_ledger(&mut ctx!(self));
         }
@@ -121,7 +128,11 @@
     /// With every timer step: what the fleet needs.
     pub(super) fn tend_fleet(&mut self) {
         let now = self.now.steady;
+        let crowded = self.crowded();
         let Some(leader) = &mut self.leader else { return };
+        if crowded {
+            self.steering.idle_ms = 0;
+        }
         let types = self.types.clone().unwrap_or_default();
         let sure = self.store.last_ok.is_some_and(|at| now.saturating_sub(at) <= GRANT_TTL_MS);
         let settings = self.settings.clone();
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -11,6 +11,10 @@
     pub voucher: Voucher,
     pub leads: bool,
     pub shares: bool,
+    /// Share of its processor that it uses, and that machines cost it.
+    pub load: Option<f64>,
+    /// See `load`.
+    pub upkeep: Option<f64>,
 }
 
 impl Node {
@@ -24,6 +28,8 @@
             leads: self.leads(),
             store_age_ms: if away { self.now.steady.saturating_sub(ok) } else { 0 },
             shares: self.shares(),
+            load: self.load.share().map(thousandths),
+            upkeep: self.upkeep.share().map(thousandths),
             cluster: self.told_cluster(),
             counts: self.leader.as_ref().map(Tables::counts).unwrap_or_default(),
         }
@@ -43,8 +49,10 @@
         }
         let voucher =
             Voucher { heard: self.now.steady, store_age_ms: beat.store_age_ms, token: beat.token };
-        self.peers
-            .insert(beat.node.clone(), Peer { voucher, leads: beat.leads, shares: beat.shares });
+        let share = |told: Option<u32>| told.map(|l| f64::from(l) / 1_000.0);
+        let (load, upkeep) = (share(beat.load), share(beat.upkeep));
+        let peer = Peer { voucher, leads: beat.leads, shares: beat.shares, load, upkeep };
+        self.peers.insert(beat.node.clone(), peer);
     }
 
     /// Whether users should be sent here: not while this node alone is without the store.
@@ -59,3 +67,7 @@
         !(self.store.away() && others_have_it)
     }
 }
+
+fn thousandths(share: f64) -> u32 {
+    (share * 1_000.0) as u32
+}
--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -1,16 +1,19 @@
 //! Reports passed on between controllers: gathered, sent together, answered by the leader alone. What
 //! shows the same as before goes as a few numbers. Where workers are many, the leader shares them out,
-//! so that no controller holds all their connections; a proof and a start are exactly what they are
-//! when a worker reports to the leader itself.
+//! so that no controller holds all their connections, and gives the others the duty to answer unchanged
+//! reports themselves; a proof and a start are exactly what they are when a worker reports to the leader
+//! itself.
 
 use super::{Action, Node, Reply, RequestId};
 use crate::Time;
 use crate::constants::*;
 use crate::tables::Source;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
-use swiftsail_wire::controllers::{Answers, Batch, Passed};
+use swiftsail_overload::constants::{CONNECTION_KB, CONNECTIONS_SPARE, DUTY_MS};
+use swiftsail_overload::duty::{Duty, Turn};
+use swiftsail_wire::controllers::{Answers, Batch, Passed, Well};
 use swiftsail_wire::workers::{Orders, Redirect, Report};
 
 /// A report that waits to be passed on, or for its answer.
@@ -25,20 +28,44 @@
     whole: bool,
 }
 
-/// Reports passed on by this node.
+/// A message on its way to the leader.
+#[derive(Debug)]
+struct Message {
+    sent: Time,
+    items: Vec<Waiting>,
+    well: usize,
+}
+
+/// What a machine's last answered report showed.
+#[derive(Debug)]
+struct Known {
+    shown: u64,
+    watch: u64,
+    /// The leader that answered it.
+    helm: u64,
+    /// Nothing was left to be said to it.
+    calm: bool,
+}
+
+/// Reports passed on by this node, and those that it answers itself.
 #[derive(Debug, Default)]
 pub(super) struct Relays {
     queue: VecDeque<Waiting>,
-    flying: BTreeMap<u64, Vec<Waiting>>,
+    flying: BTreeMap<u64, Message>,
     next: u64,
-    /// What each machine's last answered report showed, in which session, and to which leader.
-    known: HashMap<String, (u64, u64, u64)>,
+    known: HashMap<String, Known>,
+    duty: Duty,
+    /// Unchanged reports answered here that the leader has not been told of.
+    well: BTreeMap<String, (u64, u64, u64)>,
+    told_at: Time,
+    /// Reports answered here so far.
+    pub answered: u64,
 }
 
 impl Relays {
     /// Whether another report may wait.
-    pub fn room(&self) -> bool {
-        self.queue.len() < RELAYS_QUEUED
+    pub fn room(&self, most: usize) -> bool {
+        self.queue.len() < most
     }
 
     /// Takes a report to pass on.
@@ -48,6 +75,30 @@
         self.queue.push_back(Waiting { request, report, shown, since: now, leader, whole: false });
     }
 
+    /// Answers a report that shows what the last one did, if the duty allows it: with which token. The
+    /// leader is told later, and whatever it has to say it says to the next one.
+    fn answer_same(&mut self, report: &Report, now: Time) -> Option<u64> {
+        let token = self.duty.token(now)?;
+        let known = self.known.get(&report.berth)?;
+        let shown = shown(report);
+        let same = (known.shown, known.watch, known.helm) == (shown, report.watch, token);
+        if !same || !known.calm || report.helm != token || report.recall_s.is_some() {
+            return None;
+        }
+        self.well.insert(report.berth.clone(), (report.watch, report.tick, shown));
+        self.answered += 1;
+        Some(token)
+    }
+
+    /// The duty ends, and with it what only it allowed.
+    fn lose_duty(&mut self) {
+        self.duty.advance(Turn::Lost);
+        self.well.clear();
+        for known in self.known.values_mut() {
+            known.calm = false;
+        }
+    }
+
     /// The next message, if it is time for one.
     fn next(&mut self, node: &str, gather: bool, now: Time) -> Option<(u64, String, Batch)> {
         let first = self.queue.front()?;
@@ -62,10 +113,11 @@
         let (mut items, mut reports, mut bytes) = (Vec::new(), Vec::new(), 0);
         while let Some(item) = self.queue.front() {
             let report = &item.report;
-            let answered = (item.shown, report.watch, report.helm);
             let same = !item.whole
                 && report.recall_s.is_none()
-                && self.known.get(&report.berth) == Some(&answered);
+                && self.known.get(&report.berth).is_some_and(|k| {
+                    (k.shown, k.watch, k.helm) == (item.shown, report.watch, report.helm)
+                });
             let size = REPORT_BYTES + if same { 0 } else { SHARD_BYTES * report.shards.len() };
             let full = items.len() >= RELAY_MOST || bytes + size > RELAY_BYTES;
             if item.leader != leader || full && !items.is_empty() {
@@ -79,9 +131,44 @@
             });
             items.extend(self.queue.pop_front());
         }
+        let room = (RELAY_BYTES - bytes.min(RELAY_BYTES)) / WELL_BYTES;
+        let batch = Batch { node: node.to_string(), reports, well: self.tell(room, now) };
+        Some((self.fly(items, batch.well.len(), now), leader, batch))
+    }
+
+    /// A message without reports, if the leader has not been told for a while of those answered here.
+    fn summary(&mut self, node: &str, leader: &str, now: Time) -> Option<(u64, String, Batch)> {
+        let due = now >= self.told_at + SUMMARY_MS && self.flying.len() < RELAYS_FLYING;
+        if !due || self.duty.token(now).is_none() {
+            return None;
+        }
+        let well = self.tell(RELAY_BYTES / WELL_BYTES, now);
+        let batch = Batch { node: node.to_string(), reports: Vec::new(), well };
+        Some((self.fly(Vec::new(), batch.well.len(), now), leader.to_string(), batch))
+    }
+
+    fn fly(&mut self, items: Vec<Waiting>, well: usize, now: Time) -> u64 {
         self.next += 1;
-        self.flying.insert(self.next, items);
-        Some((self.next, leader, Batch { node: node.to_string(), reports }))
+        self.flying.insert(self.next, Message { sent: now, items, well });
+        self.next
+    }
+
+    /// Takes what the leader is to be told of the reports answered here: with each summary, not with each
+    /// message, so that a machine is told of once in a while however often it reports.
+    fn tell(&mut self, most: usize, now: Time) -> Vec<Well> {
+        if now < self.told_at + SUMMARY_MS {
+            return Vec::new();
+        }
+        let mut told = Vec::with_capacity(self.well.len().min(most));
+        while told.len() < most
+            && let Some((berth, (watch, tick, shown))) = self.well.pop_first()
+        {
+            told.push((berth, watch, tick, shown));
+        }
+        if self.well.is_empty() {
+            self.told_at = now;
+        }
+        told
     }
 }
 
@@ -98,35 +185,61 @@
     /// Passes on the reports whose time has come.
     pub(super) fn pass_reports_on(&mut self) {
         let now = self.now.steady;
-        let leader = self.term.leader.as_ref().and_then(|l| self.peers.get(l));
-        let gather = leader.is_some_and(|p| p.shares);
-        while let Some((number, leader, batch)) =
-            self.relays.next(&self.settings.host_name, gather, now)
+        self.relays.duty.advance(Turn::Now(now));
+        let leader = self.term.leader.as_ref();
+        let peer = leader.and_then(|l| Some((l, self.peers.get(l)?)));
+        let gather = peer.is_some_and(|(_, p)| p.shares);
+        let node = &self.settings.host_name;
+        while let Some((number, leader, batch)) = self.relays.next(node, gather, now) {
+            self.actions.push(Action::Relay(number, leader, Box::new(batch)));
+        }
+        if let Some((leader, _)) = peer.filter(|(_, p)| p.shares && p.leads)
+            && let Some((number, leader, batch)) = self.relays.summary(node, leader, now)
         {
             self.actions.push(Action::Relay(number, leader, Box::new(batch)));
         }
     }
 
+    /// Answers a worker's report under this node's duty, if it says nothing new.
+    pub(super) fn answer_under_duty(&mut self, id: RequestId, report: &Report) -> bool {
+        let Some(helm) = self.relays.answer_same(report, self.now.steady) else { return false };
+        self.answer(id, Reply::new(200, &Orders { helm, orders: Vec::new() }));
+        true
+    }
+
     /// The leader's answers to reports passed on. Without them each worker is told where to go.
     pub(super) fn on_relayed(&mut self, number: u64, answers: Option<Answers>) {
         let now = self.now.steady;
-        let Some(items) = self.relays.flying.remove(&number) else { return };
-        let Some(Answers { helm, orders }) = answers.filter(|a| a.orders.len() == items.len())
-        else {
+        let Some(Message { sent, items, well }) = self.relays.flying.remove(&number) else {
+            return;
+        };
+        let Some(answers) = answers.filter(|a| a.orders.len() == items.len()) else {
+            // What was told may not have come; the next reports go to the leader, and tell it.
+            self.relays.lose_duty();
             for item in items {
                 let reply = self.redirect();
                 self.answer(item.request, reply);
             }
             return;
         };
+        let Answers { helm, orders, calm, look, duty_ms } = answers;
+        let turn = match duty_ms {
+            0 => Turn::Refused,
+            for_ms => Turn::Granted { token: helm, sent, for_ms },
+        };
+        // A newer term ends a duty under an older one, whoever answers.
+        let turn = if helm < self.term.highest { Turn::Lost } else { turn };
+        self.relays.duty.advance(turn);
+        tracing::trace!(number, well, duty_ms, "passed on");
         if self.relays.known.len() >= RELAYED_MOST {
             self.relays.known.clear();
         }
-        for (mut item, orders) in items.into_iter().zip(orders) {
+        for (n, (mut item, orders)) in items.into_iter().zip(orders).enumerate() {
             match orders {
                 Some(orders) => {
                     // The next may go as the same only if the worker then shows the leader's token.
-                    let known = (item.shown, item.report.watch, helm);
+                    let (shown, watch) = (item.shown, item.report.watch);
+                    let known = Known { shown, watch, helm, calm: calm.binary_search(&n).is_ok() };
                     self.relays.known.insert(item.report.berth, known);
                     self.answer(item.request, Reply::new(200, &Orders { helm, orders }));
                 }
@@ -141,6 +254,11 @@
                 }
             }
         }
+        for berth in look {
+            if let Some(known) = self.relays.known.get_mut(&berth) {
+                known.calm = false;
+            }
+        }
     }
 
     /// Another controller passes reports on. What this node does not lead it does not answer, and
@@ -160,8 +278,15 @@
         let (now, from): (Time, Arc<str>) = (self.now.steady, batch.node.as_str().into());
         let types = self.types.clone().unwrap_or_default();
         let Some(leader) = &mut self.leader else { return };
-        let mut orders = Vec::with_capacity(batch.reports.len());
-        for passed in &batch.reports {
+        let mut answers = Answers { helm: leader.token, ..Answers::default() };
+        let mut look: BTreeSet<String> =
+            leader.take_look(&from).into_iter().map(|id| id.to_string()).collect();
+        for (berth, watch, tick, shown) in &batch.well {
+            if !leader.on_same(berth, (*watch, *tick), *shown, now) {
+                look.insert(berth.clone());
+            }
+        }
+        for (n, passed) in batch.reports.iter().enumerate() {
             match passed {
                 Passed::Whole { report, shown } => {
                     let found = leader.on_report(report, Source::Report, now, &types);
@@ -171,34 +296,61 @@
                         machine.shown = newest.then_some(*shown);
                         machine.via = Some(from.clone());
                     }
-                    orders.push(Some(found.orders));
+                    if leader.calm(&report.berth, now) {
+                        answers.calm.push(n);
+                    }
+                    answers.orders.push(Some(found.orders));
                 }
                 Passed::Same { berth, watch, tick, shown } => {
                     let same = leader.on_same(berth, (*watch, *tick), *shown, now);
-                    orders.push(same.then(Vec::new));
+                    if same {
+                        answers.calm.push(n);
+                    }
+                    answers.orders.push(same.then(Vec::new));
                 }
             }
         }
-        let helm = leader.token;
-        self.answer(request, Reply::new(200, &Answers { helm, orders }));
+        answers.look = look.into_iter().collect();
+        answers.duty_ms = if self.shares() { self.duty_ms() } else { 0 };
+        self.answer(request, Reply::new(200, &answers));
         self.end_jobs();
     }
 
     /// Workers whose connections this node's memory allows before they are shared.
     fn own_most(&self) -> usize {
         let kb = self.settings.settings.machine_limits.mem_mb * 1024.0;
-        (kb * CONNECTIONS_SHARE / CONNECTION_KB) as usize
+        (kb * SHARE_ABOVE) as usize / CONNECTION_KB
     }
 
-    /// Whether this node leads and the workers are too many for it alone.
+    /// For how long another controller may answer for this leader: no longer than the leader itself could
+    /// be sure that a worker's lease, granted then, ends before any cancellation falls due that it has
+    /// not heard of.
+    fn duty_ms(&self) -> u64 {
+        let sure = self.sure_ms();
+        if sure > 0 { sure.min(DUTY_MS) } else { u64::from(self.may_answer()) * BEAT_FRESH_MS }
+    }
+
+    /// Whether this node leads and the workers are too many for it alone: by their connections, or by
+    /// what they cost its processor.
     pub(super) fn shares(&self) -> bool {
+        self.leader.is_some() && self.sharing
+    }
+
+    /// Begins to share workers out, or ceases to well below where it began.
+    fn weigh_sharing(&mut self) {
         let machines = self.leader.as_ref().map_or(0, |l| l.machines.len());
-        self.settings.controllers() > 1 && machines > self.own_most()
+        let upkeep = self.upkeep.share().unwrap_or(0.0);
+        let (most, busy) = match self.sharing {
+            false => (self.own_most(), SHARE_LOAD),
+            true => (self.own_most() * 3 / 4, SHARE_LOAD / 2.0),
+        };
+        self.sharing = self.settings.controllers() > 1 && (machines > most || upkeep > busy);
     }
 
     /// Counts workers by the controller that they report to.
     pub(super) fn count_loads(&mut self) {
         self.loads.clear();
+        self.weigh_sharing();
         let Some(leader) = &self.leader else { return };
         let own: Arc<str> = self.settings.host_name.as_str().into();
         for machine in leader.machines.values().filter(|m| m.heard.is_some()) {
@@ -221,9 +373,16 @@
             fresh && !peer.leads && peer.voucher.token == self.term.token
         });
         let load = |name: &String| self.loads.get(name.as_str()).copied().unwrap_or(0);
-        let (to, theirs) = able.map(|(name, _)| (name.clone(), load(name))).min_by_key(|p| p.1)?;
+        let (to, theirs, busy) =
+            able.map(|(name, peer)| (name.clone(), load(name), peer.load)).min_by_key(|p| p.1)?;
         let slack = 1 + part / SHARE_SLACK;
-        if mine <= part + slack || theirs + slack >= mine {
+        let by_number = mine > part + slack && theirs + slack < mine;
+        // Even shares would leave the leader the busiest, since placement is its alone.
+        let spare = self.budget.connections.saturating_sub(CONNECTIONS_SPARE);
+        let by_load = self.load.share().zip(busy).is_some_and(|(own, its)| own > its + LOAD_SLACK)
+            && mine > slack
+            && theirs < spare;
+        if !by_number && !by_load {
             return None;
         }
         let machine = self.leader.as_mut()?.machines.get_mut(report.berth.as_str())?;
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -109,7 +109,7 @@
             return self.read_job(&id, Waiter { request, intent: Intent::Known(reply) });
         }
         let Ok(spec) = submission.spec else { return };
-        if self.store.away() || !self.store.has_room() {
+        if self.store.away() || !self.store.has_room(self.budget.calls) {
             return self.reply(request, Reply::later("the state service does not answer"));
         }
         let record = JobRecord {
@@ -155,7 +155,7 @@
     }
 
     fn read_job(&mut self, id: &JobId, waiter: Waiter) {
-        if self.store.away() || !self.store.has_room() {
+        if self.store.away() || !self.store.has_room(self.budget.calls) {
             let reply = Reply::later("the state service does not answer");
             return self.reply(waiter.request, reply);
         }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -67,6 +67,10 @@
             free_cpus = free,
             ?queued,
             cloud_queued = self.cloud.queued(),
+            level = ?self.pressure.level(),
+            load = format!("{:.2}", self.load.share().unwrap_or(0.0)),
+            upkeep = format!("{:.2}", self.upkeep.share().unwrap_or(0.0)),
+            machines_most = self.machines_most().0,
             kinds = kinds.join(", "),
             "status"
         );
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -49,6 +49,7 @@
             round_ms: (policy.cluster(Knob::RoundS, &cluster) * MS_PER_S) as u64,
             reserve: policy.cluster(Knob::Reserve, &cluster) as u32,
             idle_ms: (policy.cluster(Knob::IdleS, &cluster) * MS_PER_S) as u64,
+            bounds: steering.bounds.clone(),
             usual: usual(policy),
             jobs: HashMap::new(),
         };
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -26,7 +26,7 @@
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
         }
-        if self.loading.is_some() && self.held_reports.len() < HELD_REPORTS_MOST {
+        if self.loading.is_some() && self.held_reports.len() < self.budget.reports {
             self.held_reports.push((id, report));
             return;
         }
@@ -79,9 +79,13 @@
             };
             return self.actions.push(Action::Reply(id, reply));
         };
-        if shares && self.relays.room() {
+        let room = self.relays.room(self.budget.reports);
+        if shares && room {
             // Where workers are shared each stays with the node that it has found.
             *passed = Passed::default();
+            if self.answer_under_duty(id, &report) {
+                return;
+            }
             return self.relays.push(id, report, &leader, now);
         }
         if now >= passed.relay_until && recent(passed.redirected) {
@@ -107,10 +111,22 @@
         self.end_jobs();
     }
 
-    pub(super) fn may_answer(&self) -> bool {
+    /// Time after the store's last answer for which this node may answer reports whatever happens
+    /// elsewhere, ms.
+    fn sure_for_ms(&self) -> u64 {
         let workers = &self.settings.settings.workers;
         let spare = ((workers.cancel_s - workers.lease_s) * MS_PER_S) as u64;
-        let limit = spare.saturating_sub(FADE_MARGIN_MS).max(FADE_LEAST_MS.min(spare / 2));
+        spare.saturating_sub(FADE_MARGIN_MS).max(FADE_LEAST_MS.min(spare / 2))
+    }
+
+    /// What is left of that time.
+    pub(super) fn sure_ms(&self) -> u64 {
+        let ok = self.store.last_ok.unwrap_or(0);
+        (ok + self.sure_for_ms()).saturating_sub(self.now.steady)
+    }
+
+    pub(super) fn may_answer(&self) -> bool {
+        let limit = self.sure_for_ms();
         let vouchers: Vec<Voucher> = self.peers.values().map(|p| p.voucher).collect();
         let ok = self.store.last_ok.unwrap_or(0);
         let all = self.settings.controllers();
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -1,6 +1,5 @@
 //! Choosers: jobs with tasks to place, and the mapping of their tasks to places.
 
-use super::ends::EndId;
 use super::places::{Place, What};
 use super::round::Round;
 use crate::Time;
@@ -18,9 +17,14 @@
     pub mean: f64,
 }
 
+/// A score as it is kept, since hundreds of choosers keep thousands: to a ten-millionth, and to the ms
+/// for some hours from now. Not a number: not computed.
+type Packed = (f32, f32);
+const NO_SCORE: Packed = (f32::NAN, f32::NAN);
+
 /// Order of places for a chooser: highest chance, then soonest, then the fullest machine, so that
-/// others can be returned.
-type Rank = Reverse<(i64, i64, i64, usize)>;
+/// others can be returned; then the place's number. Packed into a word and a half for the same reason.
+type Rank = Reverse<(u64, u32)>;
 
 /// A job that has tasks to place.
 pub(super) struct Chooser {
@@ -47,11 +51,11 @@
     pub image: u32,
     /// Whether a machine of a type rented now would pass, once computed.
     pub passes: Vec<Option<bool>>,
-    heap: BinaryHeap<(Rank, EndId)>,
+    heap: BinaryHeap<(Rank, u32)>,
     known: usize,
     lines: bool,
     /// By end, without and with its image there.
-    scores: Vec<[Option<Score>; 2]>,
+    scores: Vec<[Packed; 2]>,
 }
 
 impl Chooser {
@@ -62,6 +66,13 @@
         self.lines = lines && self.spec.kind != Kind::Service && !self.overdue;
     }
 
+    /// Gives back what a search has taken.
+    pub fn rest(&mut self) {
+        self.heap = BinaryHeap::new();
+        self.scores = Vec::new();
+        self.known = 0;
+    }
+
     /// Tasks of it that are in a zone or could be.
     pub fn there(&self, zone: usize) -> u32 {
         self.in_zone.get(zone).copied().unwrap_or(0) + self.unplaced
@@ -172,8 +183,11 @@
         let place = &self.places[index];
         let (end, kind) = (place.end, place.kind);
         let here = place.images.contains(&c.image);
-        if let Some(score) = c.scores.get(end).and_then(|s| s[usize::from(here)]) {
-            return score;
+        let now = self.view.now as f64;
+        if let Some((chance, wait)) = c.scores.get(end).map(|s| s[usize::from(here)])
+            && !wait.is_nan()
+        {
+            return Score { chance: f64::from(chance), mean: now + f64::from(wait) };
         }
         self.out.scored += 1;
         let t = &self.types[kind];
@@ -187,19 +201,22 @@
             Score { chance: c.due.map_or(1.0, |d| end.chance(d as f64)), mean: end.mean() }
         };
         if c.scores.len() <= end {
-            c.scores.resize(end + 1, [None; 2]);
+            c.scores.resize(end + 1, [NO_SCORE; 2]);
         }
-        c.scores[end][usize::from(here)] = Some(score);
-        score
+        let packed = (score.chance as f32, (score.mean - now) as f32);
+        c.scores[end][usize::from(here)] = packed;
+        Score { chance: f64::from(packed.0), mean: now + f64::from(packed.1) }
     }
 
-    fn rank(&mut self, c: &mut Chooser, index: usize) -> (Rank, EndId) {
+    fn rank(&mut self, c: &mut Chooser, index: usize) -> (Rank, u32) {
         let score = self.score(c, index);
         let place = &self.places[index];
-        // Neither is below 0: adding a half and cutting rounds, without a call.
-        let chance = -((score.chance * 50.0 + 0.5) as i64);
-        let mean = (score.mean / MS_PER_S + 0.5) as i64;
-        (Reverse((chance, mean, (place.room.cpus * 1e3) as i64, index)), place.end)
+        // None is below 0: adding a half and cutting rounds, without a call.
+        let missed = 50 - (score.chance * 50.0 + 0.5).min(50.0) as u64;
+        let wait = (score.mean - self.view.now as f64).max(0.0);
+        let wait = (wait / MS_PER_S + 0.5).min(f64::from((1 << 24) - 1)) as u64;
+        let room = (place.room.cpus * 1e3).clamp(0.0, f64::from(u32::MAX)) as u64;
+        (Reverse((missed << 56 | wait << 32 | room, index as u32)), place.end as u32)
     }
 
     /// The best place for a chooser's next task, if any suits. Places only get fuller and later
@@ -215,7 +232,8 @@
             }
         }
         loop {
-            let &(Reverse((.., index)), end) = c.heap.peek()?;
+            let &(Reverse((_, index)), end) = c.heap.peek()?;
+            let (index, end) = (index as usize, end as usize);
             if !self.suits(c, &self.places[index]) {
                 c.heap.pop();
             } else if self.places[index].end != end {
@@ -257,7 +275,7 @@
         for c in choosers.iter_mut() {
             c.search(passing);
         }
-        while self.binds < PASS_BINDS {
+        while self.binds < self.view.steering.bounds.binds {
             let mut best: Option<(usize, usize, f64)> = None;
             for (n, c) in choosers.iter_mut().enumerate().filter(|(_, c)| c.left > 0) {
                 let Some((place, score)) = self.pick(c, passing) else { continue };
@@ -276,7 +294,7 @@
                 c.heap.pop();
             }
         }
-        if !self.full || self.binds >= PASS_BINDS {
+        if !self.full || self.binds >= self.view.steering.bounds.binds {
             return;
         }
         for c in choosers.iter_mut() {
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -191,9 +191,10 @@
             lines.push((self.ends.get(end).mean() as u64, place));
         }
         // Every chooser looks at every place: of very many lines the soonest are enough.
-        if lines.len() > LINES_MOST {
-            lines.select_nth_unstable_by_key(LINES_MOST, |l| l.0);
-            lines.truncate(LINES_MOST);
+        let most = self.view.steering.bounds.lines;
+        if lines.len() > most {
+            lines.select_nth_unstable_by_key(most, |l| l.0);
+            lines.truncate(most);
             lines.sort_by(|a, b| a.1.machine.cmp(&b.1.machine).then(a.0.cmp(&b.0)));
         }
         self.places.extend(lines.into_iter().map(|l| l.1));
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -70,7 +70,10 @@
                     let cost = t.cost(spot) / f64::from(fits.min(demand));
                     // A second of waiting for work to start weighs like a little money.
                     let wait = t.boot_ms + t.fetch_ms(&c.spec);
-                    let cost = cost * (1.0 + wait / RENT_WAIT_MS);
+                    let mut cost = cost * (1.0 + wait / RENT_WAIT_MS);
+                    if self.view.steering.bounds.scarce {
+                        cost *= 1.0 + SCARCE_COST / f64::from(fits.min(demand));
+                    }
                     if best.as_ref().is_none_or(|(b, _)| cost < *b) {
                         best = Some((cost, (kind, zone, spot)));
                     }
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -72,8 +72,8 @@
 }
 
 /// Whether a pass is due: on a change (false), or when a round's time has come (true).
-pub fn want_pass(tables: &Tables, round_ms: u64, now: Time) -> Option<bool> {
-    if now < tables.passed_at + PASS_MS {
+pub fn want_pass(tables: &Tables, pass_ms: u64, round_ms: u64, now: Time) -> Option<bool> {
+    if now < tables.passed_at + pass_ms {
         return None;
     }
     if now >= tables.round_at + round_ms {
@@ -133,7 +133,7 @@
     round.release_lined();
     round.choose();
     let Round { mut out, wishes, types, zones, binds, .. } = round;
-    out.cut_short = binds >= PASS_BINDS;
+    out.cut_short = binds >= view.steering.bounds.binds;
     if full && !out.cut_short {
         let wish = |((kind, zone, spot), number): ((usize, usize, bool), u32)| Wish {
             kind: types[kind].name.clone(),
@@ -225,7 +225,7 @@
         }
         let mut rest = Vec::new();
         for (_, mut level) in levels {
-            level.truncate(PASS_JOBS);
+            self.take_turns(&mut level);
             let (gangs, mut others): (Vec<Chooser>, Vec<Chooser>) =
                 level.into_iter().partition(|c| c.spec.kind == Kind::Gang && c.spec.tasks > 1);
             for mut gang in gangs {
@@ -233,10 +233,12 @@
             }
             self.preempt(&mut others);
             self.map(&mut others, true);
+            others.iter_mut().for_each(Chooser::rest);
             rest.extend(others.into_iter().filter(|c| c.left > 0));
         }
+        self.take_turns(&mut rest);
         self.map(&mut rest, false);
-        overdue.truncate(PASS_JOBS);
+        self.take_turns(&mut overdue);
         let (gangs, mut overdue): (Vec<Chooser>, Vec<Chooser>) =
             overdue.into_iter().partition(|c| c.spec.kind == Kind::Gang && c.spec.tasks > 1);
         for mut gang in gangs {
@@ -245,6 +247,16 @@
         self.map(&mut overdue, false);
     }
 
+    /// Of more jobs than a pass may place, others have their turn with each pass.
+    fn take_turns(&self, jobs: &mut Vec<Chooser>) {
+        let most = self.view.steering.bounds.jobs;
+        if jobs.len() > most {
+            let first = self.tables.passes as usize * most % jobs.len();
+            jobs.rotate_left(first);
+            jobs.truncate(most);
+        }
+    }
+
     /// Whether a team's limit leaves room for as much.
     pub fn within_limit(&self, team: Option<usize>, more: &Room) -> bool {
         let teams = &self.view.settings.settings.teams;
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -33,6 +33,25 @@
     }
 }
 
+/// What a pass may do at most (processor): less of it while the controller falls behind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// Tasks bound.
+    pub binds: usize,
+    /// Jobs of one level placed.
+    pub jobs: usize,
+    /// Lines offered.
+    pub lines: usize,
+    /// Few machines more can be led: larger ones are then worth more than they cost.
+    pub scarce: bool,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { binds: PASS_BINDS, jobs: PASS_JOBS, lines: LINES_MOST, scarce: false }
+    }
+}
+
 /// How a pass is steered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Steering {
@@ -46,6 +65,8 @@
     pub reserve: u32,
     /// Time a machine without tasks is kept, ms.
     pub idle_ms: u64,
+    /// What a pass may do at most.
+    pub bounds: Bounds,
     /// What holds for a job that is not named.
     pub usual: JobSteering,
     /// Jobs steered otherwise.
@@ -60,6 +81,7 @@
             round_ms: ROUND_MS,
             reserve: RESERVE_TASKS,
             idle_ms: IDLE_MS,
+            bounds: Bounds::default(),
             usual: JobSteering::default(),
             jobs: HashMap::new(),
         }
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -2,7 +2,10 @@
 
 use crate::Time;
 use crate::constants::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use std::collections::{HashMap, VecDeque};
+use swiftsail_overload::retry::{RetryBudget, pause_ms};
 use swiftsail_wire::state::{Commit, News, Page, Pair};
 
 /// A call to the state service.
@@ -180,6 +183,8 @@
     next: u64,
     paused_until: Time,
     pause: u64,
+    repeats: RetryBudget,
+    rng: StdRng,
     rps: f64,
     write_rps: f64,
     /// When the service last did its work for this node.
@@ -200,6 +205,8 @@
             next: 1,
             paused_until: 0,
             pause: STORE_BACKOFF_MS,
+            repeats: RetryBudget::new(now),
+            rng: StdRng::seed_from_u64(0),
             rps,
             write_rps,
             last_ok: None,
@@ -207,6 +214,12 @@
         }
     }
 
+    /// With its own seed, so that nodes that fail together do not come back together.
+    pub fn seeded(mut self, seed: u64) -> Store<P> {
+        self.rng = StdRng::seed_from_u64(seed);
+        self
+    }
+
     /// Sets this node's share.
     pub fn set_rates(&mut self, rps: f64, write_rps: f64, now: Time) {
         if rps != self.rps || write_rps != self.write_rps {
@@ -221,9 +234,9 @@
         self.last_fail.is_some() && self.last_fail > self.last_ok
     }
 
-    /// Whether the queues have room for another user's call.
-    pub fn has_room(&self) -> bool {
-        self.queues.iter().map(VecDeque::len).sum::<usize>() < STORE_QUEUE_MOST
+    /// Whether the queues have room for another user's call, of so many.
+    pub fn has_room(&self, most: usize) -> bool {
+        self.queues.iter().map(VecDeque::len).sum::<usize>() < most
     }
 
     /// Calls that wait, by urgency.
@@ -297,6 +310,7 @@
             self.last_ok = Some(now);
             self.pause = STORE_BACKOFF_MS;
             self.paused_until = 0;
+            self.repeats.earn();
             return Some(finished(pending, outcome));
         }
         // A follow that times out or ends says nothing of the service: it blocks by nature.
@@ -310,8 +324,10 @@
         pending.uncertain |= outcome == Outcome::Unknown;
         match pending.patience {
             Patience::Always => {
-                let wait = STORE_BACKOFF_MS << pending.tries.min(3);
-                pending.not_before = now + wait.min(STORE_BACKOFF_MOST_MS);
+                // Without a repeat left it waits longest: what fails is not asked ever more often.
+                let tries = if self.repeats.take(now) { pending.tries } else { u32::MAX };
+                let wait = pause_ms(STORE_BACKOFF_MS, tries, STORE_BACKOFF_MOST_MS, &mut self.rng);
+                pending.not_before = now + wait;
                 self.queues[pending.urgency as usize].push_back(pending);
                 None
             }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -46,6 +46,8 @@
     pub rentals: Rentals,
     /// Misses since the last round.
     pub misses: u32,
+    /// Passes so far.
+    pub passes: u64,
     /// When the last pass was.
     pub passed_at: Time,
     /// When the last round was.
@@ -63,6 +65,8 @@
     pub left_over: Vec<String>,
     /// What happened, for report hooks.
     pub happenings: Happenings,
+    /// Machines that other controllers may answer for, and to which there is something to say now.
+    look: BTreeSet<MachineId>,
     /// Jobs of which something has ended: they may be over.
     ended: BTreeSet<JobId>,
     /// Revision up to which changes of jobs are known.
@@ -88,6 +92,7 @@
             lines: Lines::default(),
             rentals: Rentals::default(),
             misses: 0,
+            passes: 0,
             passed_at: 0,
             round_at: now,
             preempting: HashMap::new(),
@@ -97,6 +102,7 @@
             ledger: Ledger::default(),
             left_over: Vec::new(),
             happenings: Happenings::default(),
+            look: BTreeSet::new(),
             ended: BTreeSet::new(),
             follow_from: 0,
         }
@@ -243,6 +249,7 @@
     /// lines (thesis, algorithm 2, 1-3).
     pub fn begin_pass(&mut self, now: Time) {
         self.passed_at = now;
+        self.passes += 1;
         self.stir = false;
         let mut over = Vec::new();
         for (id, job) in &mut self.jobs {
@@ -279,9 +286,23 @@
         job.touch(task, now);
         self.ledger.add(id, task, launch, value_bytes);
         machine.hold(id, task, launch);
+        if machine.via.is_some() {
+            self.look.insert(machine.id.clone());
+        }
         Some(task)
     }
 
+    /// Machines whose reports that controller passes on and to which something new is to be said, a
+    /// bounded number at once.
+    pub fn take_look(&mut self, via: &str) -> Vec<MachineId> {
+        let its =
+            |id: &&MachineId| self.machines.get(*id).is_some_and(|m| m.via.as_deref() == Some(via));
+        let found: Vec<MachineId> = self.look.iter().filter(its).take(LOOK_MOST).cloned().collect();
+        let Tables { look, machines, .. } = self;
+        look.retain(|id| !found.contains(id) && machines.get(id).is_some_and(|m| m.via.is_some()));
+        found
+    }
+
     /// Wants an attempt stopped; a gang then leaves whole. Proof of its end is still awaited.
     pub fn want_stop(&mut self, id: &JobId, task: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -89,20 +89,10 @@
     /// since something is bound, stopped, exited or stray there, or this leader does not know what the
     /// last one showed. Otherwise it says no more than that all goes on, and nothing is ordered.
     pub fn on_same(&mut self, id: &str, at: (u64, u64), shown: u64, now: Time) -> bool {
-        let Tables { machines, jobs, .. } = self;
-        let Some(machine) = machines.get_mut(id) else { return false };
-        let quiet = |((job, task), launch): (&(JobId, u32), &u64)| {
-            let attempt = jobs.get(job).and_then(|j| j.attempts.get(task));
-            attempt.is_some_and(|a| {
-                a.launch == *launch && a.seen && a.stop.is_none() && a.occupies() && !a.given_up
-            })
-        };
-        let same = machine.shown == Some(shown)
-            && machine.standing() == Standing::Ready
-            && machine.latest.0 == at.0
-            && machine.strays.is_empty()
-            && machine.recall_at.is_none()
-            && machine.tasks.iter().all(quiet);
+        let same = self.machines.get(id).is_some_and(|m| {
+            m.shown == Some(shown) && m.latest.0 == at.0 && self.nothing_to_say(m)
+        });
+        let Some(machine) = self.machines.get_mut(id) else { return false };
         // An older one changes nothing, as ever.
         if same && at > machine.latest {
             machine.latest = at;
@@ -112,6 +102,25 @@
         same
     }
 
+    /// Whether a machine has acknowledged this term and there is nothing to say to it, until something
+    /// is bound, stopped or ends there.
+    pub fn calm(&self, id: &str, now: Time) -> bool {
+        self.machines.get(id).is_some_and(|m| m.heard == Some(now) && self.nothing_to_say(m))
+    }
+
+    fn nothing_to_say(&self, machine: &Machine) -> bool {
+        let quiet = |((job, task), launch): (&(JobId, u32), &u64)| {
+            let attempt = self.jobs.get(job).and_then(|j| j.attempts.get(task));
+            attempt.is_some_and(|a| {
+                a.launch == *launch && a.seen && a.stop.is_none() && a.occupies() && !a.given_up
+            })
+        };
+        machine.standing() == Standing::Ready
+            && machine.strays.is_empty()
+            && machine.recall_at.is_none()
+            && machine.tasks.iter().all(quiet)
+    }
+
     /// Compares what a machine holds with the attempts bound to it.
     fn reconcile(
         &mut self,
--- /dev/null
+++ b/crates/overload/src/lib.rs
@@ -0,0 +1,23 @@
+//! What keeps a controller from collapsing, as pure values and state machines: nothing here reads a
+//! clock, does I/O or knows what is scheduled.
+//!
+//! - [`budget`]: the memory that the platform gives, divided among the parts that hold it
+//! - [`pressure`]: how far behind a controller is, by the time that work waits
+//! - [`gate`]: which requests are taken, by urgency, before their bodies are read
+//! - [`headroom`]: how many machines these controllers can hear and lead
+//! - [`duty`]: the time for which a controller may answer for the leader
+//! - [`retry`]: repeats that don't feed the fire
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod budget;
+pub mod constants;
+pub mod duty;
+pub mod gate;
+pub mod headroom;
+pub mod pressure;
+pub mod retry;
+
+/// Steady time in ms.
+pub type Time = u64;
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -2,9 +2,11 @@
 //! with crashes, delays, duplicates and lost answers. The protocol's rules are checked after every
 //! step. Every choice comes from one seed.
 
+mod processor;
 mod rules;
 mod users;
 
+use processor::Processor;
 pub use users::UserJob;
 
 use crate::cloud::Offered;
@@ -107,6 +109,8 @@
     Restart(usize),
     Crash(usize),
     Admin(usize, u64, Box<AdminAsk>),
+    /// A node's processor is free again.
+    Free(usize, u64),
 }
 
 enum Asker {
@@ -152,6 +156,11 @@
     version: u64,
     /// What report hooks were sent.
     pub delivered: Vec<Delivery>,
+    /// Share of a core that every node has, if its work is to take time.
+    pub cores: Option<f64>,
+    processors: [Processor; NODES],
+    /// Requests that the gate has refused.
+    pub refused: u64,
     /// Memory that every node that starts is told it has, MB: with less, workers are shared sooner.
     pub memory_mb: f64,
     /// The operators' file of every node that starts.
@@ -164,6 +173,11 @@
 
 impl World {
     pub fn new(seed: u64, weather: Weather, calm_after_ms: u64) -> World {
+        World::sized(seed, weather, calm_after_ms, 6)
+    }
+
+    /// A world whose cloud has so many machines of each type, zone and kind.
+    pub fn sized(seed: u64, weather: Weather, calm_after_ms: u64, capacity: u32) -> World {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut world = World {
             now: BEGIN,
@@ -174,7 +188,14 @@
             seq: 0,
             store: Store::new(free_limits(), BEGIN),
             follows: Vec::new(),
-            plant: Plant::new(offered(), settings(0).settings.clone(), NODES, 1.0, seed, BEGIN),
+            plant: Plant::new(
+                offered(capacity),
+                settings(0).settings.clone(),
+                NODES,
+                1.0,
+                seed,
+                BEGIN,
+            ),
             jobs: Vec::new(),
             askers: HashMap::new(),
             next_request: 1,
@@ -183,6 +204,9 @@
             calm_from: BEGIN + calm_after_ms,
             version: 0,
             delivered: Vec::new(),
+            cores: None,
+            processors: Default::default(),
+            refused: 0,
             memory_mb: 40.0,
             operator: Operator::default(),
             answers: BTreeMap::new(),
@@ -291,9 +315,14 @@
     }
 
     fn handle(&mut self, n: usize, life: u64, event: Event) {
-        if self.lives[n] != life {
-            return;
+        match self.cores {
+            _ if self.lives[n] != life => {}
+            None => self.work(n, life, event),
+            Some(_) => self.queue_up(n, life, event),
         }
+    }
+
+    fn work(&mut self, n: usize, life: u64, event: Event) {
         let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now + n as u64 * 7 };
         let Some(node) = self.nodes[n].as_mut() else { return };
         node.handle(event, now);
@@ -369,14 +398,19 @@
             Ev::Tick(n, life) => {
                 if self.lives[n] == life && self.nodes[n].is_some() {
                     self.handle(n, life, Event::Tick);
-                    self.at(self.now + 100, Ev::Tick(n, life));
+                    // A timer that is late fires late again from then on.
+                    let free = self.processors[n].free_at;
+                    self.at(free.max(self.now) + 100, Ev::Tick(n, life));
                 }
             }
+            Ev::Free(n, life) => self.go_on(n, life),
             Ev::Restart(n) => {
                 self.lives[n] += 1;
                 let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
                 let mut settings = Settings::clone(&settings(n));
                 settings.settings.machine_limits.mem_mb = self.memory_mb;
+                settings.settings.machine_limits.cores = self.cores.unwrap_or(1.0);
+                self.processors[n] = Processor::default();
                 let settings = Arc::new(settings);
                 let node = Node::operated(settings, &self.operator, self.rng.random(), now);
                 self.nodes[n] = Some(node);
@@ -607,8 +641,8 @@
     State { rps: 1e6, write_rps: 1e6, ..limits }
 }
 
-/// Two machine types in three zones.
-pub fn offered() -> Vec<Offered> {
+/// Two machine types in three zones, so many of each, zone and kind.
+pub fn offered(capacity: u32) -> Vec<Offered> {
     let hull = |sku: &str, cpus: f64, price: f64| Hull {
         sku: sku.into(),
         cpus,
@@ -622,7 +656,7 @@
         docks: ZONES.iter().map(|z| z.to_string()).collect(),
     };
     let types = [hull("s4", 4.0, 0.3), hull("m8", 8.0, 0.5)];
-    types.into_iter().map(|hull| Offered { hull, capacity: 6 }).collect()
+    types.into_iter().map(|hull| Offered { hull, capacity }).collect()
 }
 
 /// A job of a shape, with what the tests vary.
--- a/crates/wire/src/controllers.rs
+++ b/crates/wire/src/controllers.rs
@@ -25,6 +25,12 @@
     /// Of the leader: others are to serve workers for good, passing their reports on.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub shares: bool,
+    /// Share of its processor that it used lately, in thousandths; none while it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<u32>,
+    /// The part of it that machines cost, whatever is placed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upkeep: Option<u32>,
     /// Of the leader: counts for display, as (job, done, running).
     #[serde(default)]
     pub counts: Vec<(String, u32, u32)>,
@@ -41,8 +47,15 @@
     pub node: String,
     /// The reports, in the order in which they came.
     pub reports: Vec<Passed>,
+    /// Machines whose unchanged reports this controller has answered itself under its duty, each at most
+    /// once.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub well: Vec<Well>,
 }
 
+/// A machine that showed the same as before: name, session, message number, number of what it shows.
+pub type Well = (String, u64, u64, u64);
+
 /// A report passed on: whole, or as one that shows the same as the machine's last.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
@@ -74,4 +87,19 @@
     pub helm: u64,
     /// One for each report; none: it must be passed on whole.
     pub orders: Vec<Option<Vec<Command>>>,
+    /// Numbers of the reports after which nothing is left to be said to their machines: while these show
+    /// the same, they may be answered without the leader.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub calm: Vec<usize>,
+    /// Machines whose next report must come to the leader, whatever it shows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub look: Vec<String>,
+    /// Time for which the controller may answer unchanged reports itself, counted from when it sent the
+    /// message answered here, ms.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub duty_ms: u64,
+}
+
+fn is_none(ms: &u64) -> bool {
+    *ms == 0
 }
--- a/examples/pass_cost.rs
+++ b/examples/pass_cost.rs
@@ -96,7 +96,7 @@
 }
 
 fn main() {
-    let types: Vec<MachineType> = offered().iter().map(|o| MachineType::from(&o.hull)).collect();
+    let types: Vec<MachineType> = offered(6).iter().map(|o| MachineType::from(&o.hull)).collect();
     let settings = settings(0);
     println!(
         "plug-ins  asking, ms  pass, ms  calls a pass  operations a pass  plug-ins' memory, KB"
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -6,6 +6,15 @@
 pub const PEER_TIMEOUT_MS: u64 = 1_000;
 /// Time after which a client that sends nothing on an open connection is let go, s.
 pub const KEEP_ALIVE_S: u64 = 75;
+/// Time within which the head of a request must have come, ms: an open connection that says nothing is
+/// let go.
+pub const HEAD_MS: u64 = 5_000;
+/// Time within which a body must have come, ms: half of what a worker or a poll is given.
+pub const BODY_MS: u64 = 2_000;
+/// Seconds after which a request shed at the gate should come back, for each level of pressure.
+pub const SHED_AFTER_S: u32 = 2;
+/// Time between two measurements of the processor used, ms.
+pub const SPENT_MS: u64 = 1_000;
 /// Where the steady clock of a process begins, ms: late enough to count back from.
 pub const STEADY_BEGIN_MS: u64 = 1_000_000_000;
 /// Connections one HTTP listener keeps waiting to be accepted.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1,8 +1,10 @@
 //! The actors: they bring events to the core and carry its actions out.
 
 use crate::constants::*;
+use crate::entry::Entry;
 use actix::prelude::*;
 use awc::Client;
+use cpu_time::ProcessTime;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +32,9 @@
     begin: Instant,
     requests: HashMap<RequestId, oneshot::Sender<Reply>>,
     next: RequestId,
+    entry: Entry,
+    /// When the processor used was last measured, and what it was.
+    spent: Option<(Instant, ProcessTime)>,
 }
 
 /// A request from outside that wants an answer.
@@ -60,7 +65,12 @@
 
 impl Controller {
     /// A controller ready to start.
-    pub fn new(settings: Arc<Settings>, operator: &Operator, seed: u64) -> Controller {
+    pub fn new(
+        settings: Arc<Settings>,
+        operator: &Operator,
+        entry: Entry,
+        seed: u64,
+    ) -> Controller {
         let begin = Instant::now();
         let now = Now { steady: STEADY_BEGIN_MS, wall: wall() };
         let node = Node::operated(settings.clone(), operator, seed, now);
@@ -75,6 +85,24 @@
             begin,
             requests: HashMap::new(),
             next: 1,
+            entry,
+            spent: ProcessTime::try_now().ok().map(|spent| (begin, spent)),
+        }
+    }
+
+    /// Tells the core what the process has used, where the system says so, and the gate how pressed the
+    /// core is.
+    fn measure(&mut self, ctx: &mut Context<Self>) {
+        self.entry.set_level(self.node.level());
+        let Some((at, before)) = self.spent else { return };
+        let over_ms = at.elapsed().as_millis() as u64;
+        if over_ms < SPENT_MS {
+            return;
+        }
+        if let Ok(now) = ProcessTime::try_now() {
+            self.spent = Some((Instant::now(), now));
+            let us = now.duration_since(before).as_micros() as u64;
+            self.happen(Event::Spent(us, over_ms), ctx);
         }
     }
 
@@ -178,7 +206,10 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.set_mailbox_capacity(MAILBOX_MOST);
-        ctx.run_interval(Duration::from_millis(TICK_MS), |me, ctx| me.happen(Event::Tick, ctx));
+        ctx.run_interval(Duration::from_millis(TICK_MS), |me, ctx| {
+            me.happen(Event::Tick, ctx);
+            me.measure(ctx);
+        });
     }
 }
 
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,7 +1,9 @@
-//! The HTTP front: users, workers, health checks; and the controllers' own listener.
+//! The HTTP front: users, workers, health checks; and the controllers' own listener. Every request
+//! passes the gate before its body is read.
 
 use crate::constants::*;
 use crate::controller::{Asked, BeatIn, Controller, Incoming};
+use crate::entry::{Admitted, Entry};
 use actix::Addr;
 use actix_web::dev::Payload;
 use actix_web::error::InternalError;
@@ -12,7 +14,8 @@
 use std::time::Duration;
 use swiftsail_core::node::{Ask, Reply};
 use swiftsail_core::settings::Settings;
-use swiftsail_wire::constants::BODY_MOST;
+use swiftsail_overload::budget::Budget;
+use swiftsail_overload::gate::Urgency;
 use swiftsail_wire::users::Problem;
 use swiftsail_wire::{controllers, read, users, workers, write};
 
@@ -35,42 +38,54 @@
 }
 
 /// Format of the protocol's bodies.
-const FORMAT: &str = "application/msgpack";
+pub const FORMAT: &str = "application/msgpack";
 
 type Node = web::Data<Addr<Controller>>;
-type Body = Result<web::Bytes, actix_web::Error>;
+type Gate = web::Data<Entry>;
 
-async fn health(to: Node) -> HttpResponse {
-    ask(&to, Asked::User(Ask::Health)).await
+async fn health(to: Node, gate: Gate) -> HttpResponse {
+    match gate.enter(Urgency::Withdraw, Some(0)) {
+        Ok(_held) => ask(&to, Asked::User(Ask::Health)).await,
+        Err(refused) => refused,
+    }
 }
 
-async fn submit(to: Node, body: Body) -> HttpResponse {
-    match body {
-        Ok(body) => ask(&to, Asked::User(Ask::Submit(body.to_vec()))).await,
-        Err(e) => unread(&e),
+async fn submit(to: Node, gate: Gate, request: HttpRequest, body: web::Payload) -> HttpResponse {
+    match gate.read(Urgency::Submit, &request, body).await {
+        Ok(Admitted { body, held: _held }) => {
+            ask(&to, Asked::User(Ask::Submit(body.to_vec()))).await
+        }
+        Err(refused) => refused,
     }
 }
 
-async fn poll(to: Node, id: web::Path<String>) -> HttpResponse {
-    ask(&to, Asked::User(Ask::Poll(id.into_inner()))).await
+async fn poll(to: Node, gate: Gate, id: web::Path<String>) -> HttpResponse {
+    match gate.enter(Urgency::Poll, Some(0)) {
+        Ok(_held) => ask(&to, Asked::User(Ask::Poll(id.into_inner()))).await,
+        Err(refused) => refused,
+    }
 }
 
-async fn cancel(to: Node, id: web::Path<String>) -> HttpResponse {
-    ask(&to, Asked::User(Ask::Cancel(id.into_inner()))).await
+async fn cancel(to: Node, gate: Gate, id: web::Path<String>) -> HttpResponse {
+    match gate.enter(Urgency::Withdraw, Some(0)) {
+        Ok(_held) => ask(&to, Asked::User(Ask::Cancel(id.into_inner()))).await,
+        Err(refused) => refused,
+    }
 }
 
-async fn report(to: Node, body: Body) -> HttpResponse {
-    take::<workers::Report>(to, body, |report| Asked::Report(Box::new(report))).await
+async fn report(to: Node, gate: Gate, request: HttpRequest, body: web::Payload) -> HttpResponse {
+    let admitted = gate.read(Urgency::Reports, &request, body).await;
+    take::<workers::Report>(to, admitted, |report| Asked::Report(Box::new(report))).await
 }
 
 async fn take<T: DeserializeOwned>(
     to: Node,
-    body: Body,
+    admitted: Result<Admitted, HttpResponse>,
     asked: impl FnOnce(T) -> Asked,
 ) -> HttpResponse {
-    let body = match body {
-        Ok(body) => body,
-        Err(e) => return unread(&e),
+    let Admitted { body, held: _held } = match admitted {
+        Ok(admitted) => admitted,
+        Err(refused) => return refused,
     };
     match read::<T>(&body) {
         Ok(found) => ask(&to, asked(found)).await,
@@ -98,12 +113,30 @@
     }
 }
 
-async fn relay(_: FromController, to: Node, body: Body) -> HttpResponse {
-    take::<controllers::Batch>(to, body, |batch| Asked::Batch(Box::new(batch))).await
+async fn relay(
+    _: FromController,
+    to: Node,
+    gate: Gate,
+    request: HttpRequest,
+    body: web::Payload,
+) -> HttpResponse {
+    let admitted = gate.read(Urgency::Controllers, &request, body).await;
+    take::<controllers::Batch>(to, admitted, |batch| Asked::Batch(Box::new(batch))).await
 }
 
-async fn beat(_: FromController, to: Node, body: Body) -> HttpResponse {
-    let Some(theirs) = body.ok().and_then(|b| read::<controllers::Beat>(&b).ok()) else {
+async fn beat(
+    _: FromController,
+    to: Node,
+    gate: Gate,
+    request: HttpRequest,
+    body: web::Payload,
+) -> HttpResponse {
+    let Admitted { body, held: _held } = match gate.read(Urgency::Controllers, &request, body).await
+    {
+        Ok(admitted) => admitted,
+        Err(refused) => return refused,
+    };
+    let Ok(theirs) = read::<controllers::Beat>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
     match to.send(BeatIn(theirs)).await {
@@ -112,21 +145,22 @@
     }
 }
 
-fn unread(err: &actix_web::Error) -> HttpResponse {
-    respond(Reply::new(400, &Problem { error: format!("the body cannot be read: {err}") }), FORMAT)
-}
-
 /// Serves both listeners until the process ends.
-pub async fn serve(settings: &Settings, to: Addr<Controller>) -> std::io::Result<()> {
-    let sockets = settings.settings.machine_limits.max_connections;
+pub async fn serve(
+    settings: &Settings,
+    to: Addr<Controller>,
+    budget: &Budget,
+    entry: Entry,
+) -> std::io::Result<()> {
     let data = web::Data::new(to);
+    let entry = web::Data::new(entry);
     let cluster = web::Data::new(settings.cluster_listen);
     let both = [settings.front, settings.cluster_listen];
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
             .app_data(cluster.clone())
-            .app_data(web::PayloadConfig::new(BODY_MOST))
+            .app_data(entry.clone())
             .route(users::path::HEALTH, web::get().to(health))
             .route(users::path::JOBS, web::post().to(submit))
             .route(users::path::JOB, web::get().to(poll))
@@ -136,7 +170,8 @@
             .route(controllers::path::BEAT, web::post().to(beat))
     })
     .workers(1)
-    .max_connections(sockets * 3 / 4)
+    .max_connections(budget.connections)
+    .client_request_timeout(Duration::from_millis(HEAD_MS))
     .backlog(BACKLOG)
     .keep_alive(Duration::from_secs(KEEP_ALIVE_S))
     .disable_signals()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod commands;
 pub mod constants;
 pub mod controller;
+pub mod entry;
 pub mod front;
 pub mod local;
 pub mod logging;
--- a/src/program.rs
+++ b/src/program.rs
@@ -4,6 +4,7 @@
 use crate::commands::{JobCommand, PluginCommand};
 use crate::constants::*;
 use crate::controller::Controller;
+use crate::entry::Entry;
 use crate::local::{LocalArgs, LocalCommand};
 use crate::logging::{self, LogFormat};
 use crate::{admin, commands, front, local};
@@ -16,6 +17,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use swiftsail_core::settings::Settings;
+use swiftsail_overload::budget::Budget;
 use swiftsail_policy::operator::Operator;
 
 /// A cluster scheduler that places work by its chance of meeting its deadline.
@@ -123,7 +125,10 @@
     tracing::info!(node = %settings.host_name, site = %settings.site, front = %settings.front, "starting");
     let seed = rand::random();
     let served = actix::System::new().block_on(async move {
-        let controller = Controller::new(settings.clone(), &operator, seed).start();
+        let limits = &settings.settings.machine_limits;
+        let budget = Budget::of(limits.mem_mb, limits.max_connections);
+        let entry = Entry::new(budget.body_bytes);
+        let controller = Controller::new(settings.clone(), &operator, entry.clone(), seed).start();
         if let Some(listen) = operator.admin.listen {
             let to = controller.clone();
             actix::spawn(async move {
@@ -133,7 +138,7 @@
                 }
             });
         }
-        front::serve(&settings, controller).await
+        front::serve(&settings, controller, &budget, entry).await
     });
     served.map_err(|e| {
         format!("cannot listen: {e}; check that `front` and `cluster_listen` are free").into()
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -395,7 +395,7 @@
         shown: u64::MAX >> 1,
     };
     let size = |reports: Vec<Passed>| {
-        swiftsail_wire::write(&Batch { node: "berth-0".into(), reports }).len()
+        swiftsail_wire::write(&Batch { node: "berth-0".into(), reports, well: Vec::new() }).len()
     };
     let each = (size((0..65).map(same).collect()) - size(vec![same(0)])) / 64;
     assert!(each <= 60, "{each} bytes for a machine, with 16 tasks or none");
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -133,7 +133,7 @@
 impl Yard {
     fn new(machines: u32, job: Spec) -> Yard {
         let platform = settings(0).settings.clone();
-        let mut plant = Plant::new(offered(), platform, 3, 1.0, 5, 0);
+        let mut plant = Plant::new(offered(6), platform, 3, 1.0, 5, 0);
         let rent = Rent {
             charter: "r-1".into(),
             hull: "m8".into(),
