--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -160,18 +160,10 @@
 
 /// Share of `lease_s` after which a silent machine is given nothing new.
 pub const QUIET_SHARE: f64 = 0.35;
-/// Share of `lease_s` after which a silent machine is returned: its own lease is then about to
-/// end its tasks anyway.
-pub const LOST_SHARE: f64 = 0.95;
-/// Time beyond the lease that a new leader gives a machine with tasks that it never heard, ms.
-pub const LOST_EXTRA_MS: u64 = 2_000;
-/// Share of the machines that, silent at once, say that this controller or a zone is cut off and
-/// not that the machines are lost.
-pub const MASS_SHARE: f64 = 0.34;
-/// Machines below which that is not judged.
-pub const MASS_LEAST: usize = 4;
-/// Factor by which the patience with silent machines grows then.
-pub const MASS_PATIENCE: f64 = 2.5;
+/// Part of the sockets that may be used at once to ask machines whether they live: a tenth.
+pub const PROBES_PART: usize = 10;
+/// Time between two looks at which machines are silent, ms (processor).
+pub const MEMBERS_MS: u64 = 500;
 /// Time before `cancel_s` ends at which a withdrawn task that is not proved gone costs its
 /// machine, ms: list, rate limits and two tries of the return fit in it.
 pub const CANCEL_MARGIN_MS: u64 = 14_000;
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -4,7 +4,6 @@
 mod moves;
 mod reserve;
 
-use crate::Time;
 use crate::constants::*;
 use crate::job::{Job, JobId, Kind, MachineId};
 use crate::machine::Standing;
@@ -74,19 +73,6 @@
     out.returns.extend(late);
 }
 
-/// Many machines silent at once are cut off rather than lost: they are given more time.
-fn patience(tables: &Tables, now: Time, lease_ms: f64) -> f64 {
-    let heard = tables.machines.values().filter_map(|m| m.heard);
-    let (mut all, mut quiet) = (0, 0);
-    for at in heard {
-        all += 1;
-        let silent = now.saturating_sub(at.max(tables.since)) as f64;
-        quiet += usize::from(silent > lease_ms * QUIET_SHARE);
-    }
-    let mass = all >= MASS_LEAST && quiet as f64 > all as f64 * MASS_SHARE;
-    if mass { MASS_PATIENCE } else { 1.0 }
-}
-
 /// A machine with a notice is emptied of what gains by it: replicas move at once, tasks that can
 /// save do so in time, gangs whole. A task that cannot save runs on, since it may still be done.
 fn drain(tables: &Tables, view: View, out: &mut FleetPlan) {
@@ -109,12 +95,9 @@
     }
 }
 
-/// Silent machines, boots that are far too late, machines about to be taken.
+/// Machines given up by what membership knows, boots that are far too late, machines about to be taken.
 fn lost(tables: &Tables, view: View, out: &mut FleetPlan) {
     let now = view.now;
-    let lease_ms = view.lease_ms();
-    let patience = patience(tables, now, lease_ms);
-    let limit = (lease_ms * LOST_SHARE * patience) as u64;
     for machine in tables.machines.values() {
         if machine.standing() == Standing::Returning {
             continue;
@@ -127,23 +110,16 @@
             leave("the cloud takes it back");
             continue;
         }
-        match machine.heard {
-            Some(at) => {
-                // A new leader gives every worker time to find it.
-                if now.saturating_sub(at.max(tables.since)) > limit {
-                    leave("it is silent");
-                }
+        if let Some(seen) = tables.seen(machine) {
+            let members = tables.members.as_ref();
+            if members.is_some_and(|m| m.give_up(&machine.id, seen, now)) {
+                leave("it is silent");
             }
-            None => {
-                let boot = kind.map_or(BOOT_UNKNOWN_MS, |t| t.boot_ms);
-                let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
-                let bound = !machine.tasks.is_empty();
-                let limit = if bound { limit.max(lease_ms as u64 + LOST_EXTRA_MS) } else { late };
-                let since =
-                    if bound { machine.known_at } else { machine.rented_at.max(tables.since) };
-                if now.saturating_sub(since) > limit {
-                    leave("it never came up");
-                }
+        } else if machine.heard.is_none() {
+            let boot = kind.map_or(BOOT_UNKNOWN_MS, |t| t.boot_ms);
+            let late = (boot * BOOT_LATE_FACTOR).max(boot + BOOT_LATE_MS as f64) as u64;
+            if now.saturating_sub(machine.rented_at.max(tables.since)) > late {
+                leave("it never came up");
             }
         }
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -38,7 +38,7 @@
 use crate::Time;
 use crate::cloud::{self, Cloud};
 use crate::constants::*;
-use crate::job::{FinalRecord, JobId, chunk_size, keys};
+use crate::job::{FinalRecord, JobId, MachineId, chunk_size, keys};
 use crate::machine::MachineType;
 use crate::settings::Settings;
 use crate::steering::Steering;
@@ -53,6 +53,7 @@
 use requests::Requests;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use swiftsail_membership::Probe;
 use swiftsail_overload::budget::Budget;
 use swiftsail_overload::headroom::Load;
 use swiftsail_overload::pressure::Pressure;
@@ -137,6 +138,8 @@
     Admin(RequestId, AdminAsk),
     /// A delivery to a report hook has ended: of which plug-in, and whether it was taken.
     Delivered(String, bool),
+    /// A machine was asked directly whether it lives: what came of it, and its report if it answered.
+    Probed(MachineId, Probe, Option<Box<Report>>),
     /// The process has used so much of a core, us, over so much time, ms.
     Spent(u64, u64),
 }
@@ -152,6 +155,8 @@
     Cloud(cloud::Call),
     /// Send commands straight to a worker.
     Direct(String, Direct),
+    /// Ask a machine at its address whether it lives.
+    Probe(MachineId, String),
     /// Pass reports on to the controller of that name; the number is of the message.
     Relay(u64, String, Box<Batch>),
     /// Send a heartbeat to every other controller.
@@ -332,6 +337,7 @@
             Event::Beat(beat) => self.on_beat(&beat),
             Event::Admin(id, ask) => self.on_admin(id, ask),
             Event::Delivered(name, taken) => self.host.delivered(&name, taken, now.steady),
+            Event::Probed(id, probe, report) => self.on_probed(&id, probe, report),
             Event::Spent(us, over_ms) => self.on_spent(us, over_ms),
         }
         self.place();
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -1,7 +1,7 @@
 //! Plans applied: what placement and fleet want done, checked against the rules once more, on the
 //! tables themselves. Nothing else binds a task, and nothing else asks the cloud.
 
-use super::{Ctx, Node};
+use super::{Action, Ctx, Node};
 use crate::Time;
 use crate::cloud::{self, Call, Cloud};
 use crate::constants::*;
@@ -10,6 +10,8 @@
 use crate::placement::{self, Plan, Step, View};
 use crate::tables::{Guard, Line, Tables, Wish, usable};
 use std::cmp::Reverse;
+use swiftsail_membership::Probe;
+use swiftsail_wire::workers::Report;
 
 /// What came of a pass.
 #[derive(Debug)]
@@ -66,9 +68,14 @@
     }
 }
 
-/// What the fleet needs, with every timer step. `sure`: the store has answered lately.
-pub fn tend(tables: &mut Tables, cloud: &mut Cloud, view: View, sure: bool) {
+/// What the fleet needs, with every timer step. `sure`: the store has answered lately. Gives back the
+/// machines to ask directly whether they live.
+pub fn tend(tables: &mut Tables, cloud: &mut Cloud, view: View, sure: bool) -> Vec<MachineId> {
     let now = view.now;
+    let ask = match now >= tables.looked_at + MEMBERS_MS {
+        true => tables.look_at_members(&view.settings.settings, now),
+        false => Vec::new(),
+    };
     let rentals = &tables.rentals;
     if now >= rentals.idle_at + IDLE_CHECK_MS || now >= rentals.moved_at + MOVES_MS {
         tables.count_rooms(view.types);
@@ -89,6 +96,7 @@
         tracing::info!(machines = batch.len(), "returning machines");
         cloud.push(Call::Return(batch.iter().map(|id| id.to_string()).collect()));
     }
+    ask
 }
 
 impl Node {
@@ -133,11 +141,37 @@
         if crowded {
             self.steering.idle_ms = 0;
         }
+        let fresh = |name: &String| {
+            let peer = self.peers.get(name);
+            peer.is_some_and(|p| now.saturating_sub(p.voucher.heard) <= BEAT_FRESH_MS)
+        };
+        let others = self.settings.others.iter().filter(|o| fresh(&o.host_name));
+        let own = std::iter::once(&self.settings.site);
+        leader.reached = others.map(|o| &o.site).chain(own).cloned().collect();
         let types = self.types.clone().unwrap_or_default();
         let sure = self.store.last_ok.is_some_and(|at| now.saturating_sub(at) <= GRANT_TTL_MS);
         let settings = self.settings.clone();
         let view = View { now, settings: &settings, types: &types, steering: &self.steering };
-        tend(leader, &mut self.cloud, view, sure);
+        for id in tend(leader, &mut self.cloud, view, sure) {
+            let addr = leader.machines.get(&id).map(|m| m.addr.clone()).unwrap_or_default();
+            if !addr.is_empty() {
+                self.actions.push(Action::Probe(id, addr));
+            } else if let Some(members) = &mut leader.members {
+                // Not in the machine list yet: there is nothing to ask.
+                members.probed(&id, Probe::Refused);
+            }
+        }
+    }
+
+    /// A machine was asked directly, and answered or not.
+    pub(super) fn on_probed(&mut self, id: &MachineId, probe: Probe, report: Option<Box<Report>>) {
+        if let Some(members) = self.leader.as_mut().and_then(|l| l.members.as_mut()) {
+            members.probed(id, probe);
+        }
+        tracing::debug!(machine = %id, ?probe, "asked directly");
+        if let Some(report) = report {
+            self.on_answer(&report);
+        }
     }
 
     /// The cloud has answered, or not.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -20,8 +20,10 @@
 use crate::chance::Histories;
 use crate::constants::*;
 use crate::job::*;
-use crate::machine::Machine;
+use crate::machine::{Machine, Standing};
+use crate::settings::{Platform, Workers};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use swiftsail_membership::{Detector, Seen, State};
 use swiftsail_wire::cloud::{ListedState, Listing};
 use swiftsail_wire::state::{Item, Page};
 use swiftsail_wire::workers::Cause;
@@ -71,6 +73,12 @@
     ended: BTreeSet<JobId>,
     /// Revision up to which changes of jobs are known.
     pub follow_from: u64,
+    /// Which machines live, by evidence; begun with the first look.
+    pub members: Option<Detector<MachineId>>,
+    /// When they were last looked at.
+    pub looked_at: Time,
+    /// Zones in which a controller is heard, the leader's own among them.
+    pub reached: BTreeSet<String>,
 }
 
 /// The job and task in a wire name.
@@ -105,6 +113,9 @@
             look: BTreeSet::new(),
             ended: BTreeSet::new(),
             follow_from: 0,
+            members: None,
+            looked_at: 0,
+            reached: BTreeSet::new(),
         }
     }
 
@@ -186,6 +197,42 @@
         self.round_at = 0;
     }
 
+    /// Looks at every machine that should be up: which to ask directly now.
+    pub fn look_at_members(&mut self, platform: &Platform, now: Time) -> Vec<MachineId> {
+        self.looked_at = now;
+        let Workers { report_s, lease_s, .. } = platform.workers;
+        let flying = platform.machine_limits.max_connections / PROBES_PART;
+        let mut members = self
+            .members
+            .take()
+            .unwrap_or_else(|| Detector::new(self.since, report_s, lease_s, flying));
+        let machines = self.machines.values().filter_map(|m| Some((&m.id, self.seen(m)?)));
+        let (ask, verdicts) = members.step(machines, now);
+        self.members = Some(members);
+        for (id, state) in verdicts {
+            tracing::debug!(machine = %id, ?state, "verdict");
+            if state == State::PresumedDead {
+                self.happenings.note("machine", "presumed dead", &id, None);
+            }
+        }
+        ask
+    }
+
+    /// What membership is told of a machine, if it should be up: heard under this term, or holding work
+    /// of an earlier one.
+    pub fn seen<'a>(&self, machine: &'a Machine) -> Option<Seen<'a>> {
+        let up = machine.heard.is_some() || !machine.tasks.is_empty();
+        if !up || machine.standing() == Standing::Returning {
+            return None;
+        }
+        let spec = |job: &JobId| self.jobs.get(job).map(|j| j.spec.priority);
+        let mut jobs = machine.tasks.keys().map(|(job, _)| job);
+        let production = jobs.any(|job| spec(job) == Some(Priority::Production));
+        let (zone, via) = (machine.zone.as_str(), machine.via.as_deref());
+        let reached = self.reached.contains(zone);
+        Some(Seen { zone, via, reached, heard: machine.heard, production })
+    }
+
     /// The task of an attempt proved gone waits again.
     pub fn release(&mut self, id: &JobId, task: u32, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -24,6 +24,7 @@
 use swiftsail_core::node::{Action, AdminAsk, Event, Node, Now, Reply};
 use swiftsail_core::settings::{Settings, State};
 use swiftsail_core::store::{Call, Outcome};
+use swiftsail_membership::Probe;
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::Delivery;
 use swiftsail_wire as wire;
@@ -282,6 +283,17 @@
         self.at(BEGIN + at_ms, Ev::Crash(node));
     }
 
+    /// So many `of` so many machines that are up die now, with all that is on them. Returns how many.
+    pub fn die(&mut self, part: usize, of: usize) -> usize {
+        let now = self.now;
+        let up = self.plant.workers.iter().filter(|(_, w)| !w.gone && w.up_at <= now);
+        let names: Vec<String> = up.map(|(name, _)| name.clone()).collect();
+        let names: Vec<String> =
+            names.into_iter().enumerate().filter(|(n, _)| n % of < part).map(|(_, n)| n).collect();
+        self.plant.gone(&names, true, now);
+        names.len()
+    }
+
     /// An operator asks a controller something at a time. Returns the number of the answer.
     pub fn ask(&mut self, at_ms: u64, node: usize, ask: AdminAsk) -> u64 {
         self.next_request += 1;
@@ -367,6 +379,25 @@
                     self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
                 }
             }
+            Action::Probe(id, addr) => {
+                let hang = |w: &&crate::worker::Worker| !w.gone && w.hang_until > self.now;
+                let mute = self.plant.workers.get(&*id).filter(hang).is_some();
+                let probe = if mute { Probe::Mute } else { Probe::Silent };
+                let message = Direct { helm: 0, watch: 0, orders: Vec::new() };
+                let now = self.now;
+                let report = if mute || self.lost() {
+                    None
+                } else {
+                    self.plant.direct(&addr, &message, now)
+                };
+                let event = match report {
+                    Some((_, report)) => {
+                        (at, Event::Probed(id, Probe::Answered, Some(Box::new(report))))
+                    }
+                    None => (now + 1_200, Event::Probed(id, probe, None)),
+                };
+                self.at(event.0, Ev::ToNode(n, life, Box::new(event.1)));
+            }
             Action::Relay(id, leader, report) => {
                 let other = leader.trim_start_matches('n').parse().unwrap_or(0);
                 if self.lost() {
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -6,6 +6,10 @@
 pub const PEER_TIMEOUT_MS: u64 = 1_000;
 /// Time after which a client that sends nothing on an open connection is let go, s.
 pub const KEEP_ALIVE_S: u64 = 75;
+/// Time within which a machine that is asked whether it lives must take the connection, ms, ...
+pub const PROBE_CONNECT_MS: u64 = 900;
+/// ... and answer, ms.
+pub const PROBE_MS: u64 = 1_200;
 /// Time within which the head of a request must have come, ms: an open connection that says nothing is
 /// let go.
 pub const HEAD_MS: u64 = 5_000;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -3,7 +3,8 @@
 use crate::constants::*;
 use crate::entry::Entry;
 use actix::prelude::*;
-use awc::Client;
+use awc::error::{ConnectError, SendRequestError};
+use awc::{Client, Connector};
 use cpu_time::ProcessTime;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use swiftsail_core::node::{Action, AdminAsk, Ask, Event, Node, Now, Reply, RequestId};
 use swiftsail_core::settings::Settings;
 use swiftsail_core::{cloud, store};
+use swiftsail_membership::Probe;
 use swiftsail_policy::constants::HOOK_TIMEOUT_MS;
 use swiftsail_policy::operator::Operator;
 use swiftsail_policy::outbox::Delivery;
@@ -29,6 +31,7 @@
     settings: Arc<Settings>,
     client: Client,
     long: Client,
+    probes: Client,
     begin: Instant,
     requests: HashMap<RequestId, oneshot::Sender<Reply>>,
     next: RequestId,
@@ -82,6 +85,15 @@
             settings,
             client: client(STORE_TIMEOUT_MS),
             long: client(FOLLOW_TIMEOUT_MS),
+            probes: Client::builder()
+                .connector(
+                    // How many fly at once is bounded by the core: one that waited here for its turn
+                    // would look like a machine that hangs.
+                    Connector::new().limit(0).timeout(Duration::from_millis(PROBE_CONNECT_MS)),
+                )
+                .timeout(Duration::from_millis(PROBE_MS))
+                .disable_redirects()
+                .finish(),
             begin,
             requests: HashMap::new(),
             next: 1,
@@ -159,6 +171,13 @@
                     }
                 });
             }
+            Action::Probe(id, addr) => {
+                let client = self.probes.clone();
+                actix::spawn(async move {
+                    let (probe, report) = inspect(&client, &addr).await;
+                    to.do_send(Happened(Event::Probed(id, probe, report.map(Box::new))));
+                });
+            }
             Action::Relay(number, leader, batch) => {
                 let other = self.settings.others.iter().find(|o| o.host_name == leader);
                 let Some(other) = other else {
@@ -380,6 +399,23 @@
     if status == 200 || status == 409 { read(&bytes).ok() } else { None }
 }
 
+/// Asks a worker whether it lives. How the connection ends tells a dead machine from one that hangs.
+async fn inspect(client: &Client, addr: &str) -> (Probe, Option<Report>) {
+    let sent = client.get(format!("http://{addr}{}", workers_wire::path::INSPECT)).force_close();
+    match sent.send().await {
+        Ok(mut response) => {
+            let body = response.body().limit(RESPONSE_MOST).await.unwrap_or_default();
+            match read(&body).ok().filter(|_| response.status().is_success()) {
+                Some(report) => (Probe::Answered, Some(report)),
+                None => (Probe::Refused, None),
+            }
+        }
+        Err(SendRequestError::Connect(ConnectError::Timeout)) => (Probe::Silent, None),
+        Err(SendRequestError::Timeout) => (Probe::Mute, None),
+        Err(_) => (Probe::Refused, None),
+    }
+}
+
 /// Delivers events to a report hook. True if the receiver has taken them.
 async fn deliver(client: &Client, delivery: &Delivery) -> bool {
     let url = format!("http://{}{}", delivery.to, delivery.path);
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,190 @@
+//! Which machines live: each kind of evidence, wrong and late evidence, and mass losses on the cores.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeMap;
+use swiftsail_membership::constants::*;
+use swiftsail_membership::{Detector, Probe, Seen, State};
+use swiftsail_standin::world::{Weather, World, job, mixed_load};
+
+const REPORT_S: f64 = 5.0;
+const LEASE_S: f64 = 26.5;
+const BEGIN: u64 = 1_000_000;
+
+/// A cluster of machines in three zones, of which some stop reporting.
+struct Cluster {
+    detector: Detector<u32>,
+    heard: BTreeMap<u32, Option<u64>>,
+    now: u64,
+    asked: usize,
+}
+
+impl Cluster {
+    fn new(machines: u32) -> Cluster {
+        Cluster {
+            detector: Detector::new(BEGIN, REPORT_S, LEASE_S, 200),
+            heard: (0..machines).map(|n| (n, None)).collect(),
+            now: BEGIN,
+            asked: 0,
+        }
+    }
+
+    fn seen(heard: Option<u64>, n: u32, reached: &[bool; 3]) -> Seen<'static> {
+        let zone = n as usize % 3;
+        let (name, via) =
+            (["a", "b", "c"][zone], [None, Some("n1"), Some("n2")][n as usize / 3 % 3]);
+        Seen { zone: name, via, reached: reached[zone], heard, production: n.is_multiple_of(2) }
+    }
+
+    /// Lets time pass. `reports` says which machines do; what is asked finds `probe`.
+    fn run(
+        &mut self,
+        ms: u64,
+        reached: [bool; 3],
+        reports: impl Fn(u32) -> bool,
+        probe: impl Fn(u32) -> Probe,
+    ) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += 500;
+            let now = self.now;
+            for (n, heard) in &mut self.heard {
+                if reports(*n) && heard.is_none_or(|at| now >= at + 4_500 + u64::from(*n % 3) * 300)
+                {
+                    *heard = Some(now);
+                }
+            }
+            let machines = self.heard.iter().map(|(n, at)| (n, Cluster::seen(*at, *n, &reached)));
+            let (ask, _) = self.detector.step(machines, now);
+            self.asked += ask.len();
+            for n in ask {
+                self.detector.probed(&n, probe(n));
+            }
+        }
+    }
+
+    fn states(&self) -> BTreeMap<u32, State> {
+        let state = |n: &u32| self.detector.get(n).map(|m| m.state());
+        self.heard.keys().filter_map(|n| Some((*n, state(n)?))).collect()
+    }
+
+    fn given_up(&self, reached: &[bool; 3]) -> Vec<u32> {
+        let up = |(n, at): (&u32, &Option<u64>)| {
+            let seen = Cluster::seen(*at, *n, reached);
+            self.detector.give_up(n, seen, self.now).then_some(*n)
+        };
+        self.heard.iter().filter_map(up).collect()
+    }
+}
+
+const ALL: [bool; 3] = [true; 3];
+
+#[test]
+fn the_dead_are_told_from_the_hung_and_the_cut_off() {
+    let dead = |n: u32| n < 60;
+    let mut scattered = Cluster::new(90);
+    scattered.run(20_000, ALL, |_| true, |_| Probe::Answered);
+    assert!(scattered.states().values().all(|s| *s == State::Heard));
+    scattered.run(16_000, ALL, |n| !dead(n), |_| Probe::Silent);
+    let states = scattered.states();
+    assert!(states.iter().all(|(n, s)| (*s == State::PresumedDead) == dead(*n)), "{states:?}");
+    let gone = scattered.given_up(&ALL);
+    assert_eq!(gone, (0..60).collect::<Vec<_>>(), "two thirds of the machines within 16 s");
+
+    let mut hung = Cluster::new(90);
+    hung.run(20_000, ALL, |_| true, |_| Probe::Answered);
+    hung.run(12_500, ALL, |n| !dead(n), |_| Probe::Mute);
+    assert!(hung.states().iter().all(|(n, s)| (*s == State::PresumedHung) == dead(*n)));
+    assert!(hung.given_up(&ALL).is_empty(), "what hangs for 15 s goes on");
+    hung.run(10_000, ALL, |_| true, |_| Probe::Answered);
+    assert!(hung.states().values().all(|s| *s == State::Heard));
+
+    // A whole zone is silent, its controller with it: cut off. Its controller is heard: dead.
+    for (reached, expected) in [(false, State::PresumedCut), (true, State::PresumedDead)] {
+        let mut zone = Cluster::new(90);
+        zone.run(20_000, ALL, |_| true, |_| Probe::Answered);
+        let reached = [reached, true, true];
+        zone.run(22_000, reached, |n| n % 3 != 0, |_| Probe::Silent);
+        let states = zone.states();
+        assert!(states.iter().all(|(n, s)| (n % 3 != 0) || *s == expected), "{states:?}");
+        assert_eq!(zone.given_up(&reached).is_empty(), expected == State::PresumedCut);
+    }
+}
+
+/// A controller ended: all whom it heard are silent until they find another.
+#[test]
+fn workers_of_a_controller_that_ended_are_not_given_up() {
+    let mut cluster = Cluster::new(90);
+    cluster.run(20_000, ALL, |_| true, |_| Probe::Answered);
+    let moving = |n: u32| n / 3 % 3 == 1;
+    cluster.run(11_000, ALL, |n| !moving(n), |_| Probe::Silent);
+    assert!(cluster.given_up(&ALL).is_empty());
+    assert!(cluster.states().iter().all(|(n, s)| (*s == State::PresumedCut) == moving(*n)));
+}
+
+/// A new leader: half of the machines are dead, the others need some seconds to find it.
+#[test]
+fn a_new_leader_finds_the_dead_within_seconds_and_returns_nobody_alive() {
+    let mut cluster = Cluster::new(1_000);
+    let dead = |n: u32| n.is_multiple_of(2);
+    let probe = |n: u32| if dead(n) { Probe::Silent } else { Probe::Answered };
+    cluster.run(4_500, ALL, |_| false, probe);
+    assert!(cluster.given_up(&ALL).is_empty(), "nobody is late yet");
+    cluster.run(7_500, ALL, |n| !dead(n), probe);
+    let gone = cluster.given_up(&ALL);
+    assert!(gone.iter().all(|n| dead(*n)));
+    assert!(gone.len() >= 250, "{} of 500 dead within 12 s", gone.len());
+    // Two probes each, early ones for the living, and no more.
+    assert!(cluster.asked <= 4 * 1_000, "{} probes", cluster.asked);
+}
+
+/// Whatever the evidence: a machine that reports in time is never given up, whatever its probes say, and
+/// none is before it was silent for two report periods.
+#[test]
+fn no_evidence_gives_up_a_machine_that_reports() {
+    let config = Config { cases: 64, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let days = (prop::collection::vec((0..4u8, any::<u16>()), 4..40), any::<[bool; 3]>());
+    TestRunner::new_with_rng(config, rng)
+        .run(&days, |(steps, reached)| {
+            let mut cluster = Cluster::new(24);
+            cluster.run(6_000, ALL, |_| true, |_| Probe::Answered);
+            for (probe, silent) in steps {
+                let probes = [Probe::Answered, Probe::Refused, Probe::Mute, Probe::Silent];
+                let reports = |n: u32| n >= 16 || silent >> n & 1 == 0;
+                cluster.run(1_500, reached, reports, |_| probes[usize::from(probe)]);
+                let least = (REPORT_S * MS_PER_S * PRODUCTION_PERIODS) as u64;
+                for n in cluster.given_up(&reached) {
+                    let at = cluster.heard[&n].unwrap_or(BEGIN);
+                    prop_assert!(cluster.now > at + least, "machine {}", n);
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Two thirds of the machines die at once and every controller crashes: no rule breaks, and everything
+/// that was accepted ends or runs again.
+#[test]
+fn a_mass_loss_in_the_midst_of_a_change_of_leader_breaks_no_rule() {
+    let rough = Weather { loss: 0.02, late: 0.01, crashes: 2, outages: 1 };
+    for seed in 0..6 {
+        let mut world = World::new(seed, rough, 90_000);
+        mixed_load(&mut world, 6);
+        world.submit(300, None, job("wk-z", "service", "blue", 6, 1.0, 0.0));
+        world.run(40_000);
+        let lost = world.die(2, 3);
+        assert!(lost > 3, "seed {seed}: {lost} machines died");
+        for node in 0..3 {
+            world.crash(40_100, node);
+        }
+        world.run(320_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        for job in world.jobs.iter().filter(|j| j.cancel_at.is_none()) {
+            let last = job.last.as_deref().unwrap_or("no answer");
+            let fine = last == if job.text("shape") == "service" { "running" } else { "done" };
+            assert!(fine, "seed {seed}: {} ended as {last}: {}", job.id, world.held(&job.id));
+        }
+    }
+}
