--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -43,6 +43,10 @@
         types: &[MachineType],
     ) -> Orders {
         let id = MachineId::from(report.berth.as_str());
+        // A cut may hold a report back until its machine is long returned, and gone: it says nothing now.
+        if !self.machines.contains_key(&id) && self.rentals.was_returned(&id) {
+            return Orders { helm: self.token, orders: Vec::new() };
+        }
         let machine = self.machines.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(machine = %id, "machine unknown so far reports");
             Machine::new(id.clone(), now)
--- a/crates/membership/src/constants.rs
+++ b/crates/membership/src/constants.rs
@@ -28,9 +28,10 @@
 pub const PROBE_AGAIN_MS: u64 = 2_000;
 /// Time between two probes of a machine that is presumed cut off or hung, ms.
 pub const PROBE_SLOW_MS: u64 = 6_000;
-/// Times the report period after which a dead machine that holds production work is returned. With two
-/// probes failed it has been silent for about that long.
-pub const PRODUCTION_PERIODS: f64 = 2.0;
+/// Time beyond a late report after which a dead machine that holds production work is returned, ms. A live
+/// worker that was sent to a leader which it cannot reach is silent for as long: it waits 4 s for the
+/// answer, and half a second and a second between two nodes.
+pub const DETOUR_MS: f64 = 6_000.0;
 /// Share of the lease after which any other dead machine is returned.
 pub const DEAD_SHARE: f64 = 0.5;
 /// Share of the lease after which a hung machine is returned if production waits on it: by then it has
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -255,13 +255,14 @@
     /// and work; what hangs or is cut off may go on, with what it has done.
     pub fn give_up(&self, id: &K, seen: Seen, now: Time) -> bool {
         let Some(member) = self.members.get(id) else { return false };
-        let (silent, _) = self.silence(member, seen.heard, now);
+        let (silent, usual) = self.silence(member, seen.heard, now);
+        let detour = usual + DETOUR_MS;
         let late = self.lease_ms * LOST_SHARE;
         let limit = match member.state {
             State::Heard | State::Quiet => return false,
             State::Doubted => late,
-            State::PresumedDead if seen.production => self.report_ms * PRODUCTION_PERIODS,
-            State::PresumedDead => self.lease_ms * DEAD_SHARE,
+            State::PresumedDead if seen.production => detour,
+            State::PresumedDead => detour.max(self.lease_ms * DEAD_SHARE),
             State::PresumedHung if seen.production => self.lease_ms * HUNG_SHARE,
             State::PresumedHung | State::PresumedCut => late * CUT_PATIENCE,
         };
