The end of a cut is no proof of death: doubt begins anew; a new leader asks after 5 s

And a leader that had just begun asked 830 machines within 2 s.

Change: probes that failed in a cut are forgotten, silence counts from its end; machines never heard are asked from 5 s on, those presumed cut off every 12 s. Test: the_end_of_a_cut_gives_the_others_time_to_report.

--- a/crates/membership/src/constants.rs
+++ b/crates/membership/src/constants.rs
@@ -15,8 +15,9 @@
 /// next a second later.
 pub const FIND_MS: f64 = 5_000.0;
 /// Time from the beginning of a term until machines that were not heard are asked, ms: the machine list
-/// with their addresses is there by then, and most live ones have reported by themselves.
-pub const GREET_MS: f64 = 2_000.0;
+/// with their addresses is there by then, and most live ones have reported by themselves: to ask all a
+/// thousand of them was a burden on a leader that had just begun.
+pub const GREET_MS: f64 = 5_000.0;
 /// Share of a zone's machines, or of a controller's workers, that are silent when all that is silent there
 /// is taken to be cut off: a cut silences every one, a death leaves some.
 pub const CUT_SHARE: f64 = 0.97;
@@ -26,8 +27,8 @@
 pub const PROBES_FAILED: u8 = 2;
 /// Time between two probes of one machine, ms: a probe has its own time-out of 1.2 s.
 pub const PROBE_AGAIN_MS: u64 = 2_000;
-/// Time between two probes of a machine that is presumed cut off or hung, ms.
-pub const PROBE_SLOW_MS: u64 = 6_000;
+/// Time between two probes of a machine that is presumed cut off or hung, ms: hundreds may be.
+pub const PROBE_SLOW_MS: u64 = 12_000;
 /// Time beyond a late report after which a dead machine that holds production work is returned, ms. A live
 /// worker that was sent to a leader which it cannot reach is silent for as long: it waits 4 s for the
 /// answer, and half a second and a second between two nodes.
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -62,6 +62,8 @@
     failed: u8,
     mute: bool,
     asked_at: Time,
+    /// When it was last presumed cut off.
+    cut_until: Time,
     round: u64,
 }
 
@@ -80,6 +82,10 @@
     fn advance(&mut self, to: State, now: Time) -> bool {
         let new = self.state != to;
         if new {
+            // Probes that failed in a cut say nothing once it has ended.
+            if self.state == State::PresumedCut {
+                (self.failed, self.mute, self.cut_until) = (0, false, now);
+            }
             (self.state, self.since) = (to, now);
         }
         new
@@ -183,6 +189,7 @@
                 failed: 0,
                 mute: false,
                 asked_at: 0,
+                cut_until: 0,
                 round,
             });
             member.round = round;
@@ -221,6 +228,8 @@
                 State::Heard
             } else if deaf || apart {
                 State::PresumedCut
+            } else if member.state == State::PresumedCut {
+                State::Doubted
             } else if member.failed >= PROBES_FAILED {
                 if member.mute { State::PresumedHung } else { State::PresumedDead }
             } else if silent <= usual + report_ms * JITTER {
@@ -256,6 +265,8 @@
     pub fn give_up(&self, id: &K, seen: Seen, now: Time) -> bool {
         let Some(member) = self.members.get(id) else { return false };
         let (silent, usual) = self.silence(member, seen.heard, now);
+        // Silence in a cut that has ended counts from its end: who lives reports soon.
+        let silent = silent.min(now.saturating_sub(member.cut_until) as f64);
         let detour = usual + DETOUR_MS;
         let late = self.lease_ms * LOST_SHARE;
         let limit = match member.state {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -111,6 +111,27 @@
     }
 }
 
+/// Incident: when a cut of 47 s ended, the first machines heard broke the pattern, and those heard a moment
+/// later were returned, since their probes had failed for as long.
+#[test]
+fn the_end_of_a_cut_gives_the_others_time_to_report() {
+    let mut zone = Cluster::new(90);
+    zone.run(20_000, ALL, |_| true, |_| Probe::Answered);
+    zone.run(40_000, [false, true, true], |n| n % 3 != 0, |_| Probe::Silent);
+    zone.run(
+        3_000,
+        ALL,
+        |n| n % 3 != 0 || n < 9,
+        |n| match n % 3 == 0 {
+            true => Probe::Silent,
+            false => Probe::Answered,
+        },
+    );
+    assert!(zone.given_up(&ALL).is_empty());
+    zone.run(2_000, ALL, |_| true, |_| Probe::Answered);
+    assert!(zone.states().values().all(|s| *s == State::Heard));
+}
+
 /// A controller ended: all whom it heard are silent until they find another.
 #[test]
 fn workers_of_a_controller_that_ended_are_not_given_up() {
