Tidy: counters that nothing read leave the gate and the relay

The gate counted refusals and a message remembered how many machines it told to be well; neither was used.

--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -33,7 +33,6 @@
 struct Message {
     sent: Time,
     items: Vec<Waiting>,
-    well: usize,
 }
 
 /// What a machine's last answered report showed.
@@ -133,7 +132,7 @@
         }
         let room = (RELAY_BYTES - bytes.min(RELAY_BYTES)) / WELL_BYTES;
         let batch = Batch { node: node.to_string(), reports, well: self.tell(room, now) };
-        Some((self.fly(items, batch.well.len(), now), leader, batch))
+        Some((self.fly(items, now), leader, batch))
     }
 
     /// A message without reports, if the leader has not been told for a while of those answered here.
@@ -144,12 +143,12 @@
         }
         let well = self.tell(RELAY_BYTES / WELL_BYTES, now);
         let batch = Batch { node: node.to_string(), reports: Vec::new(), well };
-        Some((self.fly(Vec::new(), batch.well.len(), now), leader.to_string(), batch))
+        Some((self.fly(Vec::new(), now), leader.to_string(), batch))
     }
 
-    fn fly(&mut self, items: Vec<Waiting>, well: usize, now: Time) -> u64 {
+    fn fly(&mut self, items: Vec<Waiting>, now: Time) -> u64 {
         self.next += 1;
-        self.flying.insert(self.next, Message { sent: now, items, well });
+        self.flying.insert(self.next, Message { sent: now, items });
         self.next
     }
 
@@ -210,7 +209,7 @@
     /// The leader's answers to reports passed on. Without them each worker is told where to go.
     pub(super) fn on_relayed(&mut self, number: u64, answers: Option<Answers>) {
         let now = self.now.steady;
-        let Some(Message { sent, items, well }) = self.relays.flying.remove(&number) else {
+        let Some(Message { sent, items }) = self.relays.flying.remove(&number) else {
             return;
         };
         let Some(answers) = answers.filter(|a| a.orders.len() == items.len()) else {
@@ -230,7 +229,6 @@
         // A newer term ends a duty under an older one, whoever answers.
         let turn = if helm < self.term.highest { Turn::Lost } else { turn };
         self.relays.duty.advance(turn);
-        tracing::trace!(number, well, duty_ms, "passed on");
         if self.relays.known.len() >= RELAYED_MOST {
             self.relays.known.clear();
         }
--- a/crates/overload/src/gate.rs
+++ b/crates/overload/src/gate.rs
@@ -24,13 +24,12 @@
 pub struct Gate {
     most: usize,
     held: usize,
-    refused: u64,
 }
 
 impl Gate {
     /// A gate for that many bytes.
     pub fn new(most: usize) -> Gate {
-        Gate { most, held: 0, refused: 0 }
+        Gate { most, held: 0 }
     }
 
     /// Lets a request in, and says how many bytes it holds until it [leaves](Gate::leave). `length`:
@@ -45,7 +44,6 @@
         let part = (self.most as f64 * GATE_PARTS[urgency as usize]) as usize;
         let shed = level == Level::Overloaded && urgency >= Urgency::Poll;
         if shed || self.held + bytes > part {
-            self.refused += 1;
             return None;
         }
         self.held += bytes;
@@ -61,9 +59,4 @@
     pub fn held(&self) -> usize {
         self.held
     }
-
-    /// Requests refused so far.
-    pub fn refused(&self) -> u64 {
-        self.refused
-    }
 }
