A gang no longer gives up the fetch it waits for; gangs go back to their own machines

One held its image; the other had to fetch 7 GB for some 70 s, while a task waits 30 s for its mates. The first ended `alone`, the other was stopped for it, which gave its fetch up, and the gang was placed as before.

Change: a gang of which a task ended `alone` while others fetch stands as `Fetching` (new state machine Muster): those go on, and it is placed anew once its image is everywhere. A gang takes first what is kept for it, then machines that hold its image, in the zone where it must fetch least.

--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -47,6 +47,7 @@
     pub watch: u64,
     /// Where it stands. Changed by [`Attempt::advance`] alone.
     stage: Stage,
+    had_image: bool,
     /// Bound under an earlier term.
     pub old_term: bool,
     /// (session, tick) of the report whose response last carried the start.
@@ -71,6 +72,7 @@
             machine,
             watch,
             stage: Stage::Committing,
+            had_image: false,
             old_term: false,
             offered: None,
             seen: false,
@@ -100,6 +102,7 @@
         if matches!(self.stage, Stage::Exited(_)) || self.stage == to {
             return false;
         }
+        self.had_image |= matches!(to, Stage::Waiting | Stage::Running);
         if to == Stage::Running && self.ran_at.is_none() {
             self.ran_at = Some(now);
         }
@@ -107,6 +110,12 @@
         true
     }
 
+    /// Whether its machine is taken to have its image: it was seen to wait or run there, or an earlier
+    /// leader started it.
+    pub fn had_image(&self) -> bool {
+        self.had_image || self.old_term
+    }
+
     /// Whether it takes room on its machine.
     pub fn occupies(&self) -> bool {
         !matches!(self.stage, Stage::Exited(_))
@@ -126,6 +135,18 @@
     Closed,
 }
 
+/// How a gang stands together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Muster {
+    /// It waits for a place, or all of it is bound.
+    Whole,
+    /// A task has ended `alone` while others still fetch: those go on, since a fetch that nobody
+    /// waits for is given up. The gang is placed anew once its image is everywhere.
+    Fetching,
+    /// A task was lost or is to leave: all of it is stopped, and it is placed anew when none is left.
+    Leaving,
+}
+
 /// A transaction of a job on its way.
 #[derive(Debug, Clone)]
 pub struct Flight {
@@ -181,8 +202,10 @@
     pub flight: Option<Flight>,
     /// Machines on which a task of it failed.
     pub bad_machines: VecDeque<MachineId>,
-    /// Gang: being stopped because a task was lost.
-    pub regroup: bool,
+    muster: Muster,
+    /// Gang: the machines that its tasks have left, where its image is, and when. Their room is kept
+    /// for it for a while.
+    pub left: BTreeMap<MachineId, Time>,
     /// Counted as missed already.
     pub missed: bool,
 }
@@ -215,7 +238,8 @@
             chunk_upto: BTreeMap::new(),
             flight: None,
             bad_machines: VecDeque::new(),
-            regroup: false,
+            muster: Muster::Whole,
+            left: BTreeMap::new(),
             missed: false,
         }
     }
@@ -243,6 +267,42 @@
         true
     }
 
+    /// How a gang stands together.
+    pub fn muster(&self) -> Muster {
+        self.muster
+    }
+
+    /// The one function that changes how a gang stands together: what leaves is whole again only when
+    /// none of it is left. Returns whether it changed.
+    pub fn gather(&mut self, to: Muster) -> bool {
+        let none_left = !self.attempts.values().any(Attempt::occupies);
+        let allowed = match (self.muster, to) {
+            (Muster::Whole, Muster::Fetching | Muster::Leaving)
+            | (Muster::Fetching, Muster::Leaving) => !none_left,
+            (Muster::Fetching | Muster::Leaving, Muster::Whole) => none_left,
+            _ => false,
+        };
+        if allowed {
+            self.muster = to;
+        }
+        allowed
+    }
+
+    /// Whether a task of a gang still fetches and none runs: a fetch is worth waiting for.
+    pub fn fetches(&self) -> bool {
+        let mut stages = self.attempts.values().map(Attempt::stage);
+        let fetches = stages.clone().any(|s| s == Stage::Fetching);
+        fetches && !stages.any(|s| matches!(s, Stage::Running | Stage::Saving))
+    }
+
+    /// The machines whose room is kept for this gang until it is placed again. Where others still
+    /// fetch for as long as that takes, else for a moment: what else it needs may have to boot.
+    pub fn keeps(&self, now: Time) -> impl Iterator<Item = &MachineId> {
+        let gathers = self.muster != Muster::Whole;
+        let kept = move |(_, at): &(&MachineId, &Time)| gathers || now < **at + KEEP_FOR_GANG_MS;
+        self.left.iter().filter(kept).map(|(id, _)| id)
+    }
+
     /// Whether its user has cancelled it.
     pub fn cancelled(&self) -> bool {
         self.cancelled_at.is_some()
@@ -321,6 +381,9 @@
         if !self.done.contains(&task) {
             self.waiting.insert(task);
         }
+        if self.spec.kind == Kind::Gang && attempt.had_image() {
+            self.left.insert(attempt.machine.clone(), now);
+        }
         self.touch(task, now);
         Some(attempt)
     }
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -6,7 +6,7 @@
 use crate::cloud::{self, Call, Cloud};
 use crate::constants::*;
 use crate::fleet::{self, FleetPlan};
-use crate::job::{JobId, MachineId};
+use crate::job::{JobId, MachineId, Muster};
 use crate::placement::{self, Plan, Step, View};
 use crate::tables::{Guard, Line, Tables, Wish, usable};
 use std::cmp::Reverse;
@@ -279,7 +279,7 @@
                 if ok < machines.len()
                     && let Some(job) = tables.jobs.get_mut(&id)
                 {
-                    job.regroup = true;
+                    job.gather(Muster::Leaving);
                 }
             }
             Step::Preempt { by, fetch_ms, victims } => {
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -86,6 +86,20 @@
         self.in_zone[zone] += 1;
     }
 
+    /// What of a place's room is not kept from it.
+    pub fn room_at(&self, place: &Place) -> Room {
+        let mut room = place.room;
+        if self.spec.kind != Kind::Service {
+            room.take(&place.kept);
+        }
+        for (gang, priority, each) in &place.gangs {
+            if *gang != self.id && *priority >= self.spec.priority {
+                room.take(each);
+            }
+        }
+        room
+    }
+
     /// Type, zone, kind, and the zones of the job's other tasks.
     pub fn may_use(&self, kind: usize, zone: usize, spot: bool, zones: &[String]) -> bool {
         let spec = &self.spec;
@@ -168,11 +182,7 @@
 
     /// Whether a chooser's next task may go to a place.
     pub fn suits(&self, c: &Chooser, place: &Place) -> bool {
-        let mut room = place.room;
-        if c.spec.kind != Kind::Service {
-            room.take(&place.kept);
-        }
-        room.holds(&c.spec)
+        c.room_at(place).holds(&c.spec)
             && c.may_use(place.kind, place.zone, place.spot, &self.zones)
             && (c.lines || !matches!(place.what, What::Line(_)))
             && (c.bad.is_empty() || place.machine.as_ref().is_none_or(|m| !c.bad.contains(m)))
@@ -313,6 +323,7 @@
                 if !self.bind(c, machine) {
                     return false;
                 }
+                self.places[index].gangs.retain(|g| g.0 != c.id);
                 self.places[index].room.take(&each);
             }
             What::Line(slot) => {
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -5,7 +5,58 @@
 use super::round::{Round, Step};
 use crate::machine::Room;
 
+/// Places for a gang: how many tasks still lack one, how many must fetch, and what each place takes.
+struct Choice {
+    need: u32,
+    fetches: u32,
+    used: Vec<(usize, u32)>,
+}
+
 impl Round<'_> {
+    /// How dear it is for a gang's task to start at a place: 0 kept for it, 1 its image is there, 2 it
+    /// must be fetched.
+    fn fetches(&self, c: &Chooser, index: usize) -> u32 {
+        let place = &self.places[index];
+        match (place.gangs.iter().any(|g| g.0 == c.id), place.images.contains(&c.image)) {
+            (true, _) => 0,
+            (false, true) => 1,
+            (false, false) => 2,
+        }
+    }
+
+    /// Takes places in order until a gang has enough, in one zone or in all.
+    fn gather(
+        &self,
+        c: &Chooser,
+        missing: u32,
+        zone: Option<usize>,
+        suits: &[(u32, usize)],
+        now_only: bool,
+    ) -> Choice {
+        let each = Room::of(&c.spec);
+        let mut choice = Choice { need: missing, fetches: 0, used: Vec::new() };
+        let mut in_zone = vec![0; self.zones.len()];
+        for &(fetches, i) in suits {
+            let p = &self.places[i];
+            if choice.need == 0
+                || now_only && p.what != What::Now
+                || zone.is_some_and(|z| z != p.zone)
+            {
+                continue;
+            }
+            let there = &mut in_zone[p.zone];
+            let most = c.spec.zone_cap().saturating_sub(c.there(p.zone) + *there);
+            let take = c.room_at(p).fits(&each).min(choice.need).min(most);
+            if take > 0 {
+                *there += take;
+                choice.need -= take;
+                choice.fetches += fetches * take;
+                choice.used.push((i, take));
+            }
+        }
+        choice
+    }
+
     /// Places a gang whole or not at all; otherwise plans the machines it lacks.
     pub fn place_gang(&mut self, c: &mut Chooser) {
         let Some(job) = self.tables.jobs.get(&c.id) else { return };
@@ -36,54 +87,43 @@
         } else {
             vec![None]
         };
-        let mut planned: Option<(u32, Vec<(usize, u32)>)> = None;
-        let suits: Vec<usize> = (0..self.places.len())
+        // Where its image is comes first, and what is kept for it before that: a gang whose machines
+        // differ in what they have fetched waits for the slowest, and may end `alone`.
+        let mut suits: Vec<(u32, usize)> = (0..self.places.len())
             .filter(|i| matches!(self.places[*i].what, What::Now | What::Boot))
             .filter(|i| self.suits(c, &self.places[*i]))
+            .map(|i| (self.fetches(c, i), i))
             .collect();
+        suits.sort_unstable();
+        let mut best: Option<Choice> = None;
+        let mut planned: Option<Choice> = None;
         for zone in &zones {
-            for now_only in [true, false] {
-                let mut need = missing;
-                let mut used = Vec::new();
-                let mut in_zone = vec![0; self.zones.len()];
-                for &i in &suits {
-                    let p = &self.places[i];
-                    if need == 0
-                        || now_only && p.what != What::Now
-                        || zone.is_some_and(|z| z != p.zone)
-                    {
-                        continue;
-                    }
-                    let there = &mut in_zone[p.zone];
-                    let most = c.spec.zone_cap().saturating_sub(c.there(p.zone) + *there);
-                    let take = p.room.fits(&each).min(need).min(most);
-                    if take > 0 {
-                        *there += take;
-                        need -= take;
-                        used.push((i, take));
-                    }
-                }
-                if need == 0 && now_only {
-                    let mut machines = Vec::new();
-                    for (i, take) in used {
-                        let Some(machine) = self.places[i].machine.clone() else { return };
-                        for _ in 0..take {
-                            machines.push(machine.clone());
-                            self.places[i].room.take(&each);
-                            self.plan_use(c.team, &each);
-                        }
-                    }
-                    self.binds += machines.len();
-                    self.out.steps.push(Step::Gang(c.id.clone(), machines));
-                    c.left = 0;
-                    return;
-                }
-                if !now_only && planned.as_ref().is_none_or(|(n, _)| need < *n) {
-                    planned = Some((need, used));
+            let now = self.gather(c, missing, *zone, &suits, true);
+            if now.need == 0 && best.as_ref().is_none_or(|b| now.fetches < b.fetches) {
+                best = Some(now);
+            }
+            let soon = self.gather(c, missing, *zone, &suits, false);
+            if planned.as_ref().is_none_or(|b| soon.need < b.need) {
+                planned = Some(soon);
+            }
+        }
+        if let Some(Choice { used, .. }) = best {
+            let mut machines = Vec::new();
+            for (i, take) in used {
+                let Some(machine) = self.places[i].machine.clone() else { return };
+                self.places[i].gangs.retain(|g| g.0 != c.id);
+                for _ in 0..take {
+                    machines.push(machine.clone());
+                    self.places[i].room.take(&each);
+                    self.plan_use(c.team, &each);
                 }
             }
+            self.binds += machines.len();
+            self.out.steps.push(Step::Gang(c.id.clone(), machines));
+            c.left = 0;
+            return;
         }
-        let Some((mut need, used)) = planned.filter(|_| self.full) else { return };
+        let Some(Choice { mut need, used, .. }) = planned.filter(|_| self.full) else { return };
         // What it will take is kept from later choosers of this round, so that it can gather.
         let zone = used.first().map(|(i, _)| self.places[*i].zone);
         for (i, take) in used {
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -7,7 +7,7 @@
 use crate::constants::*;
 use crate::job::*;
 use crate::machine::{Room, Standing};
-use crate::tables::{Slot, usable};
+use crate::tables::{Slot, Tables, usable};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -36,6 +36,8 @@
     pub room: Room,
     /// What of the room is kept for services.
     pub kept: Room,
+    /// What of the room is kept for gangs that have left it, with their priority.
+    pub gangs: Vec<(JobId, Priority, Room)>,
     /// When what is before it ends.
     pub end: EndId,
     /// Numbers of the images there that this round asks for.
@@ -128,6 +130,7 @@
         let types = self.types;
         let mut slots: Vec<(usize, Slot, Room)> = Vec::new();
         let tables = self.tables;
+        let mut gangs = kept_for_gangs(tables, now);
         for (id, machine) in &tables.machines {
             let Some(kind) = types.iter().position(|t| t.name == machine.kind) else { continue };
             let t = &types[kind];
@@ -140,6 +143,7 @@
                 spot: machine.spot,
                 room: t.room(),
                 kept: Room::default(),
+                gangs: Vec::new(),
                 end: 0,
                 images: Vec::new(),
             };
@@ -156,6 +160,7 @@
             }
             let room = machine.free().unwrap_or_default();
             place.room = room;
+            place.gangs = gangs.remove(id).unwrap_or_default();
             place.images = machine.images.iter().filter_map(|i| self.images.get(&i.0)).collect();
             if self.full {
                 for (job, task) in machine.tasks.keys() {
@@ -209,6 +214,7 @@
                 spot: wish.spot,
                 room: types[kind].room(),
                 kept: Room::default(),
+                gangs: Vec::new(),
                 end: self.free_at(kind, up),
                 images: Vec::new(),
             };
@@ -259,3 +265,16 @@
         }
     }
 }
+
+/// Room kept for gangs on the machines that they have left.
+fn kept_for_gangs(tables: &Tables, now: Time) -> HashMap<&MachineId, Vec<(JobId, Priority, Room)>> {
+    let mut kept: HashMap<&MachineId, Vec<_>> = HashMap::new();
+    let gangs = tables.jobs.values().filter(|j| j.spec.kind == Kind::Gang);
+    for job in gangs.filter(|j| j.state() == JobState::Live) {
+        for machine in job.keeps(now) {
+            let each = (job.id.clone(), job.spec.priority, Room::of(&job.spec));
+            kept.entry(machine).or_default().push(each);
+        }
+    }
+    kept
+}
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -99,6 +99,7 @@
             spot,
             room: self.types[kind].room(),
             kept: Room::default(),
+            gangs: Vec::new(),
             end,
             images: Vec::new(),
         });
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -289,5 +289,5 @@
 
 /// Whether a job has tasks that may be placed.
 fn open(job: &Job) -> bool {
-    job.state() == JobState::Live && !job.regroup
+    job.state() == JobState::Live && job.muster() == Muster::Whole
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -248,7 +248,7 @@
     pub(crate) fn after_loss(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.spec.kind == Kind::Gang {
-            job.regroup = job.attempts.values().any(Attempt::occupies);
+            job.gather(Muster::Leaving);
         }
     }
 
@@ -331,6 +331,7 @@
         let task = job.waiting.pop_first()?;
         job.attempts.insert(task, Attempt::new(launch, machine_id.clone(), machine.latest.0, now));
         job.touch(task, now);
+        job.left.clear();
         self.ledger.add(id, task, launch, value_bytes);
         machine.hold(id, task, launch);
         if machine.via.is_some() {
@@ -356,7 +357,9 @@
         let gang = job.spec.kind == Kind::Gang;
         if let Some(attempt) = job.attempts.get_mut(&task).filter(|a| a.occupies()) {
             attempt.stop.get_or_insert((now, 0));
-            job.regroup |= gang;
+            if gang {
+                job.gather(Muster::Leaving);
+            }
         }
     }
 
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -285,7 +285,7 @@
         }
         for ((job_id, task), launch) in &machine.tasks {
             let Some(job) = self.jobs.get_mut(job_id) else { continue };
-            if job.cancelled() || job.regroup || !whole(job) {
+            if job.cancelled() || job.muster() != Muster::Whole || !whole(job) {
                 continue;
             }
             let Some(attempt) = job.attempts.get_mut(task).filter(|a| a.launch == *launch) else {
@@ -351,7 +351,13 @@
         if failed && let Some(job) = self.jobs.get_mut(id) {
             job.hold(task, now);
         }
-        self.after_loss(id);
+        // A gang whose machines differ in what they have fetched would else end `alone`, be stopped
+        // and start over for ever: the stop gives up the fetch that it waits for.
+        let waits = |j: &Job| cause == Cause::Alone && j.fetches();
+        match self.jobs.get_mut(id).filter(|j| j.spec.kind == Kind::Gang && waits(j)) {
+            Some(job) => drop(job.gather(Muster::Fetching)),
+            None => self.after_loss(id),
+        }
     }
 
     // ---- commands ------------------------------------------------------------------------------
@@ -363,17 +369,20 @@
         let mut unstarted = Vec::new();
         for (id, job) in &mut self.jobs {
             // The last of a gang may also leave by being done, which releases nothing.
-            if job.regroup && !job.attempts.values().any(Attempt::occupies) {
-                job.regroup = false;
+            if job.muster() != Muster::Whole && job.gather(Muster::Whole) {
                 self.stir = true;
             }
-            if !job.cancelled() && !job.regroup {
+            if job.muster() == Muster::Fetching && !job.fetches() {
+                job.gather(Muster::Leaving);
+            }
+            let leaves = job.muster() == Muster::Leaving;
+            if !job.cancelled() && !leaves {
                 let draining = job.attempts.values().any(|a| a.stop.is_some());
                 if !draining {
                     continue;
                 }
             }
-            let whole = job.cancelled() || job.regroup;
+            let whole = job.cancelled() || leaves;
             let ease = ease_of(job);
             for (task, attempt) in &mut job.attempts {
                 if !attempt.occupies() || !(whole || attempt.stop.is_some()) {
--- a/crates/core/src/tables/rooms.rs
+++ b/crates/core/src/tables/rooms.rs
@@ -110,7 +110,8 @@
         gang: bool,
     ) -> Result<(), Refusal> {
         let job = tables.jobs.get(id).ok_or(Refusal::Closed)?;
-        if job.state() != JobState::Live || job.regroup || job.waiting.is_empty() {
+        if job.state() != JobState::Live || job.muster() != Muster::Whole || job.waiting.is_empty()
+        {
             return Err(Refusal::Closed);
         }
         let machine = tables.machines.get(machine).ok_or(Refusal::Machine)?;
--- /dev/null
+++ b/tests/gangs.rs
@@ -0,0 +1,65 @@
+//! Gangs that lose a task, on the pure cores against the stand-in.
+
+use swiftsail_standin::world::{Weather, World, job};
+
+const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
+
+fn gang(id: &str, tasks: u32, eta_s: f64) -> serde_json::Value {
+    let mut gang = job(id, "gang", "blue", tasks, 8.0, eta_s);
+    (gang["hulls"], gang["dock"]) = (vec!["m8"].into(), "a".into());
+    // 36 s of fetching: more than the 30 s that a gang's task waits for the others.
+    gang["pull_gb"] = 18.0.into();
+    gang
+}
+
+/// One of its two machines has the image, the other must fetch it for longer than a task waits. The
+/// first ended `alone`, the other was stopped for it, which gave the fetch up, and both started over:
+/// on simulated machines a gang went on so for 631 s, until its machines were needed elsewhere.
+#[test]
+fn a_gang_does_not_give_up_the_fetch_that_it_waits_for() {
+    let mut world = World::sized(1, CALM, 1_000, 1);
+    world.submit(500, None, gang("wk-1", 1, 4.0));
+    world.submit(48_000, None, gang("wk-2", 2, 10.0));
+    world.run(160_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    for job in &world.jobs {
+        assert_eq!(job.last.as_deref(), Some("done"), "{}", world.held(&job.id));
+    }
+}
+
+/// Gangs whose leases have ended go back to the machines that hold their images, each to its own: the
+/// first to be placed used to take another's, and both fetched anew.
+#[test]
+fn gangs_go_back_to_their_own_machines() {
+    let mut world = World::sized(2, CALM, 1_000, 2);
+    // The first by its id comes second, and so holds the later machines.
+    let ids = ["wk-9", "wk-1"];
+    for (n, id) in ids.iter().enumerate() {
+        let mut gang = gang(id, 2, 200.0);
+        gang["bundle"] = format!("img-{n}").into();
+        world.submit(500 + n as u64 * 9_000, None, gang);
+    }
+    world.run(80_000);
+    let on = |world: &World| -> Vec<(String, String)> {
+        let workers = world.plant.workers.values().filter(|w| !w.gone);
+        let tasks = workers.flat_map(|w| w.tasks.iter().map(move |t| (t, w)));
+        let mut on: Vec<_> = tasks
+            .filter(|(t, _)| t.on_machine())
+            .map(|(t, w)| (t.name.clone(), w.name.clone()))
+            .collect();
+        on.sort();
+        on
+    };
+    let before = on(&world);
+    assert_eq!(before.len(), 2 * ids.len(), "all run by now: {before:?}");
+    let now = world.now;
+    // They hang for longer than their lease of 10 s, and for less than costs them their machines.
+    assert_eq!(world.plant.hang(before.len(), 13_000, now), before.len());
+    world.run(110_000);
+    assert!(
+        world.plant.workers.values().all(|w| w.gone || w.session() > 1),
+        "every lease has ended"
+    );
+    assert_eq!(on(&world), before);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
