At a limit: exact amounts, an order among a team's jobs, and no machines that nobody may use

Every job of the hot team got a little at a time and ended late; replicas waited until arrays of their own team ended.

Change: crates/amounts holds amounts as whole numbers (billionths) and the order in which a team's jobs get what its limit leaves: by rank, services, then each class its max-min fair part, within it the most jobs that can all be in time (Moore's rule), then least work first; what a gang needs is saved up. A job beyond its part joins no line. Replicas that lack only amounts have arrays of their team stopped, where their image is first. Work within a guarantee that has waited for half of its time has others' borrowed arrays stopped. Idle machines are kept for as much as waiting work may use.

--- /dev/null
+++ b/crates/amounts/src/order.rs
@@ -0,0 +1,164 @@
+//! Who gets what a team's limit leaves, when its jobs want more: by rank; what runs until it is cancelled
+//! first; then every class of jobs its part, so that none is starved by a larger one; within a class the jobs
+//! that can still be done by their deadline, the soonest first, then those with least left to do.
+//!
+//! Without an order every job of a team at its limit gets a little at a time, and all end late. Which jobs
+//! can all be done in time is told by Moore's rule ("An n job, one machine sequencing algorithm for minimizing
+//! the number of late jobs", 1968), with the class's part as the machine: in the order of deadlines, and
+//! whenever one would be late, the largest so far is put off. It leaves the fewest late. The parts are
+//! max-min fair: no class gets less so that one with more gets more yet.
+
+use crate::constants::*;
+use crate::fixed::{Amount, Amounts};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// What a job wants of its team's limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Claim {
+    /// Number of its class.
+    pub class: usize,
+    /// Rank of its priority: the higher the sooner.
+    pub rank: u8,
+    /// Replicas and the like, that run until they are cancelled: before what ends by itself.
+    pub endless: bool,
+    /// Its tasks start together or not at all: what is left is saved up for it.
+    pub whole: bool,
+    /// Time left to its deadline, or to the time within which users want its class done, ms; none: neither, or
+    /// over already.
+    pub left_ms: Option<f64>,
+    /// Tasks that wait for a place.
+    pub waiting: u32,
+    /// Tasks that run.
+    pub running: f64,
+    /// What each task takes.
+    pub each: Amounts,
+    /// How long a task runs, ms.
+    pub run_ms: f64,
+}
+
+impl Claim {
+    /// CPUs that it uses.
+    fn uses(&self) -> f64 {
+        self.running * self.each.cpus.number()
+    }
+
+    /// CPUs that it uses or wants.
+    fn wants(&self) -> f64 {
+        self.uses() + f64::from(self.waiting) * self.each.cpus.number()
+    }
+
+    /// CPU time that it still needs, in CPU ms.
+    fn work(&self) -> f64 {
+        let tasks = f64::from(self.waiting) + self.running * LEFT_OF_RUNNING;
+        tasks * self.each.cpus.number() * self.run_ms
+    }
+}
+
+/// Shares out what a team's limit leaves: how many tasks of each claim may start. `rate`: CPUs that the
+/// limit lets the team's finite jobs use at once. Among equals the first comes first.
+pub fn share_out(left: Amounts, rate: f64, claims: &[Claim]) -> Vec<u32> {
+    let mut grants = vec![0; claims.len()];
+    let (mut left, mut rate) = (left, rate);
+    let mut ranks: Vec<u8> = claims.iter().map(|c| c.rank).collect();
+    ranks.sort_unstable_by_key(|r| Reverse(*r));
+    ranks.dedup();
+    for rank in ranks {
+        let own = |endless: bool| {
+            let all = 0..claims.len();
+            all.filter(move |n| claims[*n].rank == rank && claims[*n].endless == endless)
+        };
+        for n in own(true) {
+            grant(&claims[n], u32::MAX, &mut left, &mut grants[n]);
+        }
+        let mut classes: Vec<usize> = own(false).map(|n| claims[n].class).collect();
+        classes.sort_unstable();
+        classes.dedup();
+        let of = |class: usize| own(false).filter(move |n| claims[*n].class == class);
+        let wants: Vec<f64> =
+            classes.iter().map(|c| of(*c).map(|n| claims[n].wants()).sum()).collect();
+        for (class, part) in classes.iter().zip(parts(rate, &wants)) {
+            let all: Vec<usize> = of(*class).collect();
+            let mut used: f64 = all.iter().map(|n| claims[*n].uses()).sum();
+            for n in order(part, claims, &all) {
+                let each = claims[n].each.cpus.number();
+                // The last may be more than its part by less than a task: else what is larger than its
+                // part would never start.
+                let most = ((part - used) / each).ceil().clamp(0.0, f64::from(u32::MAX)) as u32;
+                let most = if claims[n].whole && most > 0 { u32::MAX } else { most };
+                grant(&claims[n], most, &mut left, &mut grants[n]);
+                used += f64::from(grants[n]) * each;
+            }
+        }
+        rate -= wants.iter().sum::<f64>().min(rate);
+    }
+    grants
+}
+
+/// Gives a claim what it may have of what is left.
+fn grant(claim: &Claim, most: u32, left: &mut Amounts, granted: &mut u32) {
+    let wants = claim.waiting.min(most);
+    let fits = wants.min(left.holds(claim.each));
+    *granted = if claim.whole && fits < claim.waiting { 0 } else { fits };
+    *left -= claim.each.times(if claim.whole { wants } else { fits });
+    // Saved up for it: nothing is left, but nothing is owed either.
+    *left = left.map(|a| a.max(Amount::ZERO));
+}
+
+/// Max-min fair parts of a whole: each gets what it wants, or as much as any that wants more.
+fn parts(whole: f64, wants: &[f64]) -> Vec<f64> {
+    let mut parts = vec![0.0; wants.len()];
+    let mut by_want: Vec<usize> = (0..wants.len()).collect();
+    by_want.sort_by(|a, b| wants[*a].total_cmp(&wants[*b]));
+    let mut left = whole.max(0.0);
+    for (n, of) in by_want.iter().enumerate() {
+        parts[*of] = wants[*of].min(left / (wants.len() - n) as f64);
+        left -= parts[*of];
+    }
+    parts
+}
+
+/// The order in which some of the claims are served, as their numbers.
+fn order(rate: f64, claims: &[Claim], of: &[usize]) -> Vec<usize> {
+    let in_time = in_time(rate, claims, of);
+    let soon = |n: usize| match in_time[n] {
+        true => claims[n].left_ms.unwrap_or(f64::MAX),
+        false => claims[n].work(),
+    };
+    let mut all = of.to_vec();
+    all.sort_by(|a, b| {
+        let late = in_time[*b].cmp(&in_time[*a]);
+        late.then(soon(*a).total_cmp(&soon(*b))).then(a.cmp(b))
+    });
+    all
+}
+
+/// Which claims can all be done in time.
+fn in_time(rate: f64, claims: &[Claim], of: &[usize]) -> Vec<bool> {
+    let mut on_time = vec![false; claims.len()];
+    // A task that could not be done in time even if it began now is not waited for.
+    let due = |n: &usize| {
+        let c = &claims[*n];
+        c.left_ms.filter(|l| c.waiting > 0 && *l >= c.run_ms).map(|l| (l, *n))
+    };
+    let mut by_due: Vec<(f64, usize)> = of.iter().filter_map(due).collect();
+    by_due.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    // By work, the largest on top; among equals the later is put off.
+    let mut taken: BinaryHeap<(u64, usize)> = BinaryHeap::new();
+    let takes = |n: usize| (claims[n].work() / rate.max(f64::MIN_POSITIVE)).min(MOST_MS) as u64;
+    // What runs to its end whatever is put off.
+    let mut busy: u64 = of.iter().filter(|n| claims[**n].waiting == 0).map(|n| takes(*n)).sum();
+    for (due, n) in by_due {
+        let ms = takes(n);
+        taken.push((ms, n));
+        busy += ms;
+        on_time[n] = true;
+        if busy as f64 * BUSY_MARGIN + claims[n].run_ms * TAIL_MARGIN > due
+            && let Some((ms, put_off)) = taken.pop()
+        {
+            busy -= ms;
+            on_time[put_off] = false;
+        }
+    }
+    on_time
+}
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -284,6 +284,14 @@
 pub const START_MS: f64 = 1_000.0;
 /// Reports after which a stopped task's room is taken to be free for the next.
 pub const PREEMPT_REPORTS: f64 = 2.0;
+/// Part of the time within which work of a guarantee is to start that it waits for machines that boot,
+/// before what others run beyond theirs is stopped for it: what is stopped loses its work and needs room too.
+pub const RECLAIM_AFTER: f64 = 0.5;
+/// That time where no aim names it, s.
+pub const GUARANTEE_S: f64 = 60.0;
+/// Tasks for which a round makes room at most by stopping what other teams run beyond their guarantee: a
+/// wave of stops would be followed by a wave of rentals for what was stopped.
+pub const RECLAIM_MOST: u32 = 50;
 /// Time a service waits for room made for it, ms, before it takes any other.
 pub const PREEMPT_WAIT_MS: u64 = 9_000;
 /// Jobs of one level placed in one pass at most (processor).
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -1,14 +1,16 @@
 //! Renting and returning machines: what the fleet needs, read from the tables and given back as a
 //! plan that the node applies.
 
+mod demand;
 mod moves;
 mod reserve;
 
 use crate::constants::*;
-use crate::job::{Job, JobId, Kind, MachineId};
+use crate::job::{JobId, Kind, MachineId};
 use crate::machine::Standing;
 use crate::placement::View;
 use crate::tables::Tables;
+use demand::Demand;
 use reserve::Reserve;
 use std::collections::BTreeSet;
 
@@ -126,7 +128,7 @@
 }
 
 /// Machines without work are returned after a while, suspects as soon as they are empty. What work
-/// that waits could use is kept, and so is the reserve for services.
+/// that waits may use is kept, and so is the reserve for services.
 fn idle(tables: &Tables, view: View, out: &mut FleetPlan) {
     let (now, types) = (view.now, view.types);
     let empty: Vec<MachineId> = tables
@@ -139,26 +141,13 @@
     if empty.is_empty() {
         return;
     }
-    let waiting: Vec<&Job> = tables.jobs.values().filter(|j| !j.waiting.is_empty()).collect();
-    let waits = waiting.iter().any(|j| j.spec.kind != Kind::Service && !j.cancelled());
-    let wanted: Vec<[bool; 2]> = types
-        .iter()
-        .map(|t| {
-            let fits = |spot: bool| {
-                let may = |j: &&Job| t.allows(&j.spec) && !t.wasted_on(&j.spec);
-                waits && waiting.iter().any(|j| may(j) && (!spot || j.spec.spot))
-            };
-            [fits(false), fits(true)]
-        })
-        .collect();
+    let mut demand = Demand::count(tables, view);
     let mut reserve = Reserve::count(tables, types, view.steering.reserve);
     for id in empty {
         let Some(machine) = tables.machines.get(&id) else { continue };
-        let kind = types.iter().position(|t| t.name == machine.kind);
-        let wanted = kind.is_some_and(|k| wanted[k][usize::from(machine.spot)]);
         if machine.suspect {
             out.returns.push((id, "it is suspected"));
-        } else if !wanted && !reserve.needs(machine, types) {
+        } else if !demand.wants(machine) && !reserve.needs(machine, types) {
             out.returns.push((id, "it is idle"));
         }
     }
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -289,6 +289,12 @@
                 }
                 tables.preempting.insert(by, (view.now, fetch_ms));
             }
+            Step::Release { by, victims } => {
+                tracing::info!(job = %by, tasks = victims.len(), "stopped: the team's limit leaves a service nothing");
+                for (id, task) in victims {
+                    tables.want_stop(&id, task, view.now);
+                }
+            }
         }
     }
     tables.stir |= plan.cut_short;
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -4,11 +4,12 @@
 use super::{Node, Now, Reply};
 use crate::constants::*;
 use crate::job::{Job, JobId, JobState, Kind, Priority, Spec};
-use crate::machine::{MachineType, Room, Standing};
+use crate::machine::{MachineType, Standing};
 use crate::settings::Team;
 use crate::steering::{JobSteering, Steering};
 use crate::tables::Tables;
 use std::collections::{BTreeMap, HashMap};
+use swiftsail_amounts::Amounts;
 use swiftsail_policy::facts::{CLASS, CLUSTER, Facts, JOB, TEAM, Value};
 use swiftsail_policy::hooks::{Answer, Hook};
 use swiftsail_policy::host::{Host, Second, Verdict};
@@ -295,10 +296,10 @@
     Facts::new(CLASS, [text(class)].into_iter().chain(count).collect())
 }
 
-fn team_of(spec: &Spec, teams: &[Team], usage: &[Room]) -> Facts {
+fn team_of(spec: &Spec, teams: &[Team], usage: &[Amounts]) -> Facts {
     let found = teams.iter().zip(usage).find(|(t, _)| t.name == spec.team);
     let numbers = found.map_or([0.0; 6], |(t, used)| {
-        [used.cpus, t.cpus, t.cpus_max, used.gpus, t.gpus, t.gpus_max]
+        [used.cpus.number(), t.cpus, t.cpus_max, used.gpus.number(), t.gpus, t.gpus_max]
     });
     let numbers = numbers.map(Value::Number);
     Facts::new(TEAM, [text(&spec.team)].into_iter().chain(numbers).collect())
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -38,6 +38,8 @@
     pub overdue: bool,
     pub left: u32,
     pub bad: Vec<MachineId>,
+    /// Its team's limit leaves less than its jobs want: it places what it was given of it.
+    pub capped: bool,
     /// Number of its team in the settings.
     pub team: Option<usize>,
     /// The only zone that its gang may still use.
@@ -63,7 +65,12 @@
     pub fn search(&mut self, lines: bool) {
         self.heap.clear();
         self.known = 0;
-        self.lines = lines && self.spec.kind != Kind::Service && !self.overdue;
+        self.lines = lines && !self.is_service() && !self.overdue && !self.capped;
+    }
+
+    /// Whether its tasks are replicas of a service.
+    pub fn is_service(&self) -> bool {
+        self.spec.kind == Kind::Service
     }
 
     /// Gives back what a search has taken.
@@ -129,6 +136,7 @@
             overdue: job.missed,
             left: self.free_tasks(job),
             bad: job.bad_machines.iter().cloned().collect(),
+            capped: false,
             team: self.view.settings.settings.teams.iter().position(|t| t.name == spec.team),
             zone: None,
             in_zone: Vec::new(),
@@ -296,7 +304,7 @@
             let Some((n, place, _)) = best else { break };
             let c = &mut choosers[n];
             let lined = matches!(self.places[place].what, What::Line(_));
-            if !lined && !self.within_limit(c.team, &Room::of(&c.spec)) {
+            if !lined && !self.within_limit(c, 1) {
                 // Nothing more of it fits its team's limit, wherever: not tried again in this
                 // round, or a job at the limit would try for ever.
                 c.left = 0;
@@ -341,7 +349,7 @@
                 if !place.images.contains(&c.image) {
                     place.images.push(c.image);
                 }
-                self.plan_use(c.team, &each);
+                self.plan_use(c);
             }
         }
         c.left -= 1;
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -72,9 +72,7 @@
             return;
         }
         let each = Room::of(&c.spec);
-        let mut whole = Room::default();
-        (whole.cpus, whole.gpus) = (each.cpus * f64::from(missing), each.gpus * f64::from(missing));
-        if !self.within_limit(c.team, &whole) {
+        if !self.within_limit(c, missing) {
             return;
         }
         c.search(false);
@@ -115,7 +113,7 @@
                 for _ in 0..take {
                     machines.push(machine.clone());
                     self.places[i].room.take(&each);
-                    self.plan_use(c.team, &each);
+                    self.plan_use(c);
                 }
             }
             self.binds += machines.len();
--- /dev/null
+++ b/crates/core/src/placement/limits.rs
@@ -0,0 +1,263 @@
+//! Teams at their limit: who gets what it leaves, and what is stopped so that replicas need not wait for it.
+
+use super::chooser::Chooser;
+use super::round::{Round, Step, View};
+use crate::Time;
+use crate::constants::*;
+use crate::job::*;
+use crate::machine::Machine;
+use crate::settings::Team;
+use crate::tables::{Tables, amounts_of, cap_of};
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use swiftsail_amounts::order::{Claim, share_out};
+use swiftsail_amounts::{Amount, Amounts, Cap};
+
+/// A team as a round sees it.
+pub(super) struct TeamRoom {
+    cap: Cap,
+    guarantee: Amounts,
+    /// What it uses, everything not proved gone counted, and what the round plans for it.
+    used: Amounts,
+    /// What of that is its replicas'.
+    endless: Amounts,
+    /// What is being stopped and not proved gone.
+    leaving: Amounts,
+}
+
+impl TeamRoom {
+    /// All teams of the settings.
+    pub fn all(tables: &Tables, teams: &[Team]) -> Vec<TeamRoom> {
+        let used = tables.usage(teams);
+        let room = |(team, used): (&Team, Amounts)| TeamRoom {
+            cap: cap_of(team),
+            guarantee: Amounts::limit(team.cpus, team.gpus),
+            used,
+            endless: Amounts::default(),
+            leaving: Amounts::default(),
+        };
+        let mut all: Vec<TeamRoom> = teams.iter().zip(used).map(room).collect();
+        for job in tables.jobs.values() {
+            let Some(n) = teams.iter().position(|t| t.name == job.spec.team) else { continue };
+            let held = job.attempts.values().filter(|a| a.occupies());
+            let leaves = |a: &&Attempt| a.stop.is_some() || job.cancelled();
+            let (leaving, stays): (Vec<&Attempt>, Vec<&Attempt>) = held.partition(leaves);
+            let each = amounts_of(&job.spec);
+            all[n].leaving += each.times(leaving.len() as u32);
+            if job.spec.kind == Kind::Service {
+                all[n].endless += each.times(stays.len() as u32);
+            }
+        }
+        all
+    }
+
+    /// Whether its limit leaves as much more.
+    pub fn allows(&self, more: Amounts) -> bool {
+        self.cap.allows(self.used, more)
+    }
+
+    /// Whether it would stay within its guarantee with as much more.
+    pub fn guaranteed(&self, more: Amounts) -> bool {
+        self.guarantee.cpus >= self.used.cpus + more.cpus
+    }
+
+    /// Whether it uses more than its guarantee.
+    pub fn beyond(&self) -> bool {
+        self.used.cpus > self.guarantee.cpus
+    }
+
+    /// Whether it would still use all of its guarantee with as much less.
+    pub fn beyond_without(&self, less: Amounts) -> bool {
+        self.used.cpus - less.cpus >= self.guarantee.cpus
+    }
+
+    /// It will use as much more.
+    pub fn take(&mut self, more: Amounts) {
+        self.used += more;
+    }
+
+    /// It will use as much less.
+    pub fn give(&mut self, less: Amounts) {
+        self.used -= less;
+    }
+}
+
+/// What waiting jobs may use at most of their teams' limits, used up as it is given out.
+pub struct Allowance {
+    left: Vec<Amounts>,
+}
+
+impl Allowance {
+    /// What each team's limit leaves.
+    pub fn of(tables: &Tables, teams: &[Team]) -> Allowance {
+        let used = tables.usage(teams);
+        Allowance { left: teams.iter().zip(used).map(|(t, used)| cap_of(t).left(used)).collect() }
+    }
+
+    /// How many more tasks of a job its team may use, of `number` that fit somewhere and `want` that wait.
+    pub fn take(&mut self, team: usize, spec: &Spec, want: u32, number: u32) -> u32 {
+        let each = amounts_of(spec);
+        let most = want.min(number).min(self.left[team].holds(each));
+        self.left[team] -= each.times(most);
+        most
+    }
+}
+
+/// The time by which users want a job without a deadline to be done: as the aims of its class ask of its
+/// end, or of its start.
+fn wanted_by(view: View, job: &Job, run_ms: f64) -> Option<Time> {
+    let aims = view.settings.settings.objectives.iter();
+    let own = aims.filter(|o| o.class.as_deref() == Some(&job.spec.class));
+    let within = own.filter_map(|o| match (o.kind.as_str(), o.within_s) {
+        ("finished", Some(s)) => Some(s * MS_PER_S),
+        ("wait", Some(s)) => Some(s * MS_PER_S + run_ms),
+        _ => None,
+    });
+    within.reduce(f64::min).map(|ms| job.known_at + ms as u64)
+}
+
+/// What a job wants of its team's limit; `waiting`: tasks that may be placed.
+fn claim<'t>(
+    view: View,
+    job: &'t Job,
+    waiting: u32,
+    run_ms: f64,
+    classes: &mut Vec<&'t str>,
+) -> Claim {
+    let now = view.now;
+    let class = classes.iter().position(|c| *c == job.spec.class).unwrap_or(classes.len());
+    if class == classes.len() {
+        classes.push(&job.spec.class);
+    }
+    let due = job.due.or_else(|| wanted_by(view, job, run_ms));
+    Claim {
+        class,
+        rank: job.spec.priority as u8,
+        endless: job.spec.kind == Kind::Service,
+        whole: job.spec.kind == Kind::Gang,
+        left_ms: due.filter(|due| *due > now).map(|due| (due - now) as f64),
+        waiting,
+        running: job.attempts.values().filter(|a| a.occupies()).count() as f64,
+        each: amounts_of(&job.spec),
+        run_ms,
+    }
+}
+
+impl Round<'_> {
+    /// Where jobs want more than their team's limit leaves, each may place what it gets of it in this
+    /// pass, and no task stands in a line: the next in the order takes what comes free.
+    pub fn keep_to_limits(&mut self, choosers: &mut [Chooser]) {
+        for team in 0..self.teams.len() {
+            let own: Vec<usize> =
+                (0..choosers.len()).filter(|n| choosers[*n].team == Some(team)).collect();
+            let wants: Amounts = own
+                .iter()
+                .map(|n| &choosers[*n])
+                .map(|c| {
+                    let waiting = self.tables.jobs.get(&c.id).map_or(0, |j| j.waiting.len());
+                    amounts_of(&c.spec).times(waiting as u32)
+                })
+                .sum();
+            if own.is_empty() || self.teams[team].allows(wants) {
+                continue;
+            }
+            let (mut claims, mut classes) = (Vec::new(), Vec::new());
+            let tables = self.tables;
+            let claiming: BTreeSet<JobId> = own.iter().map(|n| choosers[*n].id.clone()).collect();
+            for n in &own {
+                let c = &mut choosers[*n];
+                c.capped = true;
+                self.out.lines.drop_job(&c.id);
+                let Some(job) = tables.jobs.get(&c.id) else { continue };
+                c.left = job.waiting.len() as u32;
+                let c = &choosers[*n];
+                let kind = c.kinds.iter().position(|k| *k).unwrap_or(0);
+                claims.push(claim(
+                    self.view,
+                    job,
+                    c.left,
+                    self.run_guess(c, kind).mean(),
+                    &mut classes,
+                ));
+            }
+            // What its other jobs use counts as their class's.
+            let name = &self.view.settings.settings.teams[team].name;
+            for job in tables.jobs.values().filter(|j| j.spec.team == *name) {
+                if !claiming.contains(&job.id) {
+                    let run_ms = job.spec.estimate_s * MS_PER_S;
+                    claims.push(claim(self.view, job, 0, run_ms, &mut classes));
+                }
+            }
+            let room = &self.teams[team];
+            let rate = (room.cap.most().cpus - room.endless.cpus).number();
+            let grants = share_out(room.cap.left(room.used), rate, &claims);
+            let granted = own.iter().map(|n| &choosers[*n]).zip(&grants);
+            let services: Vec<_> = granted.filter(|(c, _)| c.is_service()).collect();
+            let lacks = services.into_iter();
+            let lacks: Vec<(&Chooser, Amounts)> =
+                lacks.map(|(c, n)| (c, amounts_of(&c.spec).times(c.left - n))).collect();
+            self.free_amounts(team, &lacks);
+            for (n, grant) in own.into_iter().zip(grants) {
+                choosers[n].left = grant;
+            }
+        }
+    }
+
+    /// Replicas that wait for their team's limit alone: tasks of the team's own arrays of lower priority
+    /// are stopped for as much, less what is being stopped already: where the replica's image is first, so
+    /// that it starts there at once, and of those the least work lost.
+    fn free_amounts(&mut self, team: usize, lacks: &[(&Chooser, Amounts)]) {
+        let mut leaving = self.teams[team].leaving;
+        let mut found = None;
+        for (by, lacks) in lacks {
+            let mut lacks = *lacks;
+            // What leaves already is for the first of them.
+            let first = lacks.with(leaving, Amount::min);
+            (lacks, leaving) = (lacks - first, leaving - first);
+            let enough = |lacks: Amounts| Amounts::default().covers(lacks);
+            if enough(lacks) {
+                continue;
+            }
+            let found = found.get_or_insert_with(|| stoppable(self.tables, self.view, team));
+            let has = |v: &Stoppable| v.machine.has_image(&by.spec.image);
+            found.sort_by_cached_key(|v| Reverse((!has(v), v.lost_ms, v.job.id.clone(), v.task)));
+            let mut victims = Vec::new();
+            while !enough(lacks)
+                && let Some(v) = found.pop_if(|v| v.job.spec.priority < by.spec.priority)
+            {
+                lacks -= amounts_of(&v.job.spec);
+                victims.push((v.job.id.clone(), v.task));
+            }
+            if !victims.is_empty() {
+                self.out.steps.push(Step::Release { by: by.id.clone(), victims });
+            }
+        }
+    }
+}
+
+/// Tasks of a team's arrays whose stop would soon be proved: their machines are heard.
+fn stoppable<'t>(tables: &'t Tables, view: View, team: usize) -> Vec<Stoppable<'t>> {
+    let (now, name) = (view.now, &view.settings.settings.teams[team].name);
+    let quiet = view.lease_ms() * QUIET_SHARE;
+    let mut found = Vec::new();
+    let arrays = tables.jobs.values().filter(|j| j.spec.kind == Kind::Array);
+    for job in arrays.filter(|j| j.spec.team == *name && !j.cancelled()) {
+        for (task, attempt) in &job.attempts {
+            let Some(machine) = tables.machines.get(&attempt.machine) else { continue };
+            let near = |at: Time| now.saturating_sub(at) as f64 <= quiet;
+            if machine.heard.is_some_and(near) && attempt.occupies() && attempt.stop.is_none() {
+                let lost_ms = attempt.ran_at.map_or(0, |at| now.saturating_sub(at));
+                found.push(Stoppable { job, task: *task, machine, lost_ms });
+            }
+        }
+    }
+    found
+}
+
+/// A task that could be stopped.
+struct Stoppable<'a> {
+    job: &'a Job,
+    task: u32,
+    machine: &'a Machine,
+    lost_ms: u64,
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -8,9 +8,11 @@
 mod chooser;
 mod ends;
 mod gangs;
+mod limits;
 mod places;
 mod preempt;
 mod rental;
 mod round;
 
+pub use limits::Allowance;
 pub use round::{Plan, Step, View, plan, want_pass};
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -1,11 +1,15 @@
-//! Preemption: services take the room of array tasks of lower priority.
+//! Preemption: services take the room of array tasks of lower priority, and teams within their guarantee that
+//! of array tasks which others run beyond theirs.
 
 use super::chooser::Chooser;
+use super::limits::TeamRoom;
+use super::places::What;
 use super::round::{Round, Step};
 use crate::constants::*;
 use crate::job::*;
 use crate::machine::Room;
-use crate::tables::usable;
+use crate::tables::{amounts_of, usable};
+use swiftsail_amounts::Amounts;
 
 /// Tasks of several jobs.
 type Tasks = Vec<(JobId, u32)>;
@@ -17,7 +21,18 @@
     zone: usize,
     spot: bool,
     room: Room,
-    tasks: Vec<(u64, JobId, u32, Room, Priority)>,
+    tasks: Vec<Victim>,
+}
+
+/// A task that could be stopped.
+struct Victim {
+    /// Work that would be lost, ms.
+    lost: u64,
+    job: JobId,
+    task: u32,
+    size: Room,
+    priority: Priority,
+    team: Option<usize>,
 }
 
 impl Round<'_> {
@@ -26,7 +41,7 @@
     pub fn preempt(&mut self, choosers: &mut [Chooser]) {
         let now = self.view.now;
         let soon = self.view.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
-        for c in choosers.iter_mut().filter(|c| c.spec.kind == Kind::Service && c.left > 0) {
+        for c in choosers.iter_mut().filter(|c| c.is_service() && c.left > 0) {
             c.search(true);
             let since = self.tables.preempting.get(&c.id).copied();
             let enough = self.soon_enough(c, soon);
@@ -35,7 +50,7 @@
             let best = loop {
                 match self.best(c) {
                     Some((index, s)) if c.left > 0 && s.mean - now as f64 <= goal => {
-                        if !self.within_limit(c.team, &Room::of(&c.spec)) || !self.take(c, index) {
+                        if !self.within_limit(c, 1) || !self.take(c, index) {
                             break f64::MAX;
                         }
                     }
@@ -67,6 +82,67 @@
         }
     }
 
+    /// Makes room for work within its team's guarantee that has found none for a while, by stopping what other teams
+    /// run beyond theirs: least work lost first, a bounded number in a round. It waits for that room alone,
+    /// and what it lacks beyond that is mapped as ever.
+    pub fn reclaim(&mut self, choosers: &mut [Chooser]) {
+        let now = self.view.now;
+        if !self.full || !self.teams.iter().any(TeamRoom::beyond) {
+            return;
+        }
+        let aims = self.view.settings.settings.objectives.iter();
+        let within = aims.filter(|o| o.kind == "guarantee").filter_map(|o| o.within_s);
+        let patience = within.fold(GUARANTEE_S, f64::min) * MS_PER_S * RECLAIM_AFTER;
+        let mut most = RECLAIM_MOST;
+        for c in choosers.iter_mut().filter(|c| !c.is_service() && c.left > 0) {
+            let waits = self.tables.jobs.get(&c.id).map_or(0, |j| now.saturating_sub(j.known_at));
+            let lately =
+                self.tables.preempting.get(&c.id).is_some_and(|(at, _)| now < at + PREEMPT_WAIT_MS);
+            let each = Room::of(&c.spec);
+            let here = self.places.iter().filter(|p| p.what == What::Now && self.suits(c, p));
+            let free: u32 = here.map(|p| c.room_at(p).fits(&each)).fold(0, u32::saturating_add);
+            if (waits as f64) < patience || lately || free >= c.left {
+                continue;
+            }
+            // A gang waits for all of it: room for a part would stand empty.
+            let lacks = c.left - free;
+            let (mut made, mut stopped): (f64, Tasks) = (0.0, Vec::new());
+            let mut rooms = 0;
+            while rooms < lacks.min(most)
+                && self.teams_guarantee(c, rooms + 1)
+                && let Some((fetch, zone, victims)) = self.victims(c, f64::MAX)
+            {
+                made = made.max(fetch);
+                rooms += 1;
+                c.enter(zone);
+                stopped.extend(victims);
+            }
+            most -= rooms;
+            if rooms > 0 {
+                c.left -= if c.spec.kind == Kind::Gang { 0 } else { rooms };
+                let by = c.id.clone();
+                self.out.steps.push(Step::Preempt { by, fetch_ms: made, victims: stopped });
+            }
+        }
+    }
+
+    /// Whether so many more tasks of a chooser stay within its team's guarantee.
+    fn teams_guarantee(&self, c: &Chooser, tasks: u32) -> bool {
+        let more = amounts_of(&c.spec).times(tasks);
+        c.team.is_some_and(|t| self.teams[t].guaranteed(more) && self.teams[t].allows(more))
+    }
+
+    /// Whether a task may be stopped for a chooser's: for a replica if it is of lower priority, for other work
+    /// if its team is beyond its guarantee, and remains so without it.
+    fn may_stop(&self, c: &Chooser, v: &Victim) -> bool {
+        let borrowed = || {
+            let beyond = v.team.filter(|t| Some(*t) != c.team).map(|t| &self.teams[t]);
+            beyond.is_some_and(|t| t.beyond_without(Amounts::need(v.size.cpus, v.size.gpus)))
+        };
+        v.priority < c.spec.priority && c.is_service()
+            || !c.is_service() && v.priority <= c.spec.priority && borrowed()
+    }
+
     /// How soon a replica should run, ms, before others are stopped for it: as its class's aim
     /// asks, less what the start itself takes.
     fn soon_enough(&self, c: &Chooser, soon: f64) -> f64 {
@@ -97,14 +173,26 @@
                 leaving |= attempt.stop.is_some();
                 if job.spec.kind == Kind::Array {
                     let lost = attempt.ran_at.map_or(0, |at| now.saturating_sub(at));
-                    let size = Room::of(&job.spec);
-                    tasks.push((lost, id.clone(), *task, size, job.spec.priority));
+                    tasks.push(Victim {
+                        lost,
+                        job: id.clone(),
+                        task: *task,
+                        size: Room::of(&job.spec),
+                        priority: job.spec.priority,
+                        team: self
+                            .view
+                            .settings
+                            .settings
+                            .teams
+                            .iter()
+                            .position(|t| t.name == job.spec.team),
+                    });
                 }
             }
             if leaving || tasks.is_empty() {
                 continue;
             }
-            tasks.sort_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
+            tasks.sort_by(|a, b| (a.lost, &a.job, a.task).cmp(&(b.lost, &b.job, b.task)));
             found.push(Candidate {
                 machine: machine.id.clone(),
                 kind,
@@ -143,13 +231,13 @@
             }
             let mut room = m.room;
             let (mut lost, mut chosen) = (0, Vec::new());
-            for (cost, id, task, each, _) in m.tasks.iter().filter(|t| t.4 < c.spec.priority) {
+            for v in m.tasks.iter().filter(|v| self.may_stop(c, v)) {
                 if room.holds(&c.spec) {
                     break;
                 }
-                room.give(each);
-                lost += cost;
-                chosen.push((id.clone(), *task));
+                room.give(&v.size);
+                lost += v.lost;
+                chosen.push((v.job.clone(), v.task));
             }
             let fits = room.holds(&c.spec) && !chosen.is_empty();
             if fits && best.as_ref().is_none_or(|(f, l, ..)| (fetch, lost) < (*f, *l)) {
@@ -162,8 +250,12 @@
             zone = m.zone;
             // What is left of it may make room for another.
             for (id, task) in &chosen {
-                if let Some(n) = m.tasks.iter().position(|t| t.1 == *id && t.2 == *task) {
-                    m.room.give(&m.tasks.remove(n).3);
+                if let Some(n) = m.tasks.iter().position(|v| v.job == *id && v.task == *task) {
+                    let victim = m.tasks.remove(n);
+                    m.room.give(&victim.size);
+                    if let Some(team) = victim.team {
+                        self.teams[team].give(Amounts::need(victim.size.cpus, victim.size.gpus));
+                    }
                 }
             }
             m.room.take(&Room::of(&c.spec));
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -108,15 +108,12 @@
 
     /// Plans machines for what finds no place.
     pub fn plan_rentals(&mut self, c: &mut Chooser, passing: bool) {
-        while c.left > 0 && self.within_limit(c.team, &Room::of(&c.spec)) {
+        while c.left > 0 && self.within_limit(c, 1) {
             let Some((kind, zone, spot)) = self.rental(c, passing) else { break };
             let index = self.wish(kind, zone, spot);
             // Fill the new machine with this job's tasks; the others find it as a place.
             let before = c.left;
-            while c.left > 0
-                && self.suits(c, &self.places[index])
-                && self.within_limit(c.team, &Room::of(&c.spec))
-            {
+            while c.left > 0 && self.suits(c, &self.places[index]) && self.within_limit(c, 1) {
                 if !self.take(c, index) {
                     break;
                 }
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -2,16 +2,17 @@
 
 use super::chooser::Chooser;
 use super::ends::Ends;
+use super::limits::TeamRoom;
 use super::places::{Names, Place};
 use super::preempt::Candidate;
 use super::rental::Open;
 use crate::Time;
 use crate::constants::*;
 use crate::job::*;
-use crate::machine::{MachineType, Room};
+use crate::machine::MachineType;
 use crate::settings::Settings;
 use crate::steering::Steering;
-use crate::tables::{Lines, Tables, Wish, within_limit};
+use crate::tables::{Lines, Tables, Wish, amounts_of};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -52,6 +53,13 @@
         /// What is stopped.
         victims: Vec<(JobId, u32)>,
     },
+    /// Stop tasks of lower priority of the same team, whose limit leaves a service nothing.
+    Release {
+        /// The service.
+        by: JobId,
+        /// What is stopped.
+        victims: Vec<(JobId, u32)>,
+    },
 }
 
 /// What a pass wants done, in order.
@@ -86,8 +94,8 @@
     pub tables: &'a Tables,
     pub view: View<'a>,
     pub types: &'a [MachineType],
-    /// What each team of the settings uses, everything not proved gone counted.
-    pub usage: Vec<Room>,
+    /// The teams of the settings.
+    pub teams: Vec<TeamRoom>,
     pub zones: Vec<String>,
     pub images: Names,
     pub service_images: Vec<(u32, Arc<Spec>)>,
@@ -110,7 +118,7 @@
         tables,
         view,
         types: view.types,
-        usage: tables.usage(&view.settings.settings.teams),
+        teams: TeamRoom::all(tables, &view.settings.settings.teams),
         zones: Vec::new(),
         images: Names::default(),
         service_images: Vec::new(),
@@ -207,16 +215,14 @@
             .collect();
         let mut levels: BTreeMap<Level, Vec<Chooser>> = BTreeMap::new();
         let mut overdue = Vec::new();
-        for id in ids {
-            let Some(c) = self.chooser(&id) else { continue };
+        let mut choosers: Vec<Chooser> = ids.iter().filter_map(|id| self.chooser(id)).collect();
+        self.keep_to_limits(&mut choosers);
+        for c in choosers.into_iter().filter(|c| c.left > 0) {
             *self.demand.entry(c.spec.class.clone()).or_default() += c.left;
             if c.overdue {
                 overdue.push(c);
             } else {
-                let within = c.team.is_some_and(|t| {
-                    let team = &self.view.settings.settings.teams[t];
-                    self.usage[t].cpus + c.spec.cpus <= team.cpus + SLACK
-                });
+                let within = self.guaranteed(&c);
                 let steered = self.view.steering.of(&c.id);
                 let score = (steered.score * SCORE_STEPS) as i64;
                 let level = (Reverse(c.spec.priority), !within, steered.order, Reverse(score));
@@ -224,7 +230,7 @@
             }
         }
         let mut rest = Vec::new();
-        for (_, mut level) in levels {
+        for ((_, beyond, ..), mut level) in levels {
             self.take_turns(&mut level);
             let (gangs, mut others): (Vec<Chooser>, Vec<Chooser>) =
                 level.into_iter().partition(|c| c.spec.kind == Kind::Gang && c.spec.tasks > 1);
@@ -232,6 +238,9 @@
                 self.place_gang(&mut gang);
             }
             self.preempt(&mut others);
+            if !beyond {
+                self.reclaim(&mut others);
+            }
             self.map(&mut others, true);
             others.iter_mut().for_each(Chooser::rest);
             rest.extend(others.into_iter().filter(|c| c.left > 0));
@@ -257,16 +266,20 @@
         }
     }
 
-    /// Whether a team's limit leaves room for as much.
-    pub fn within_limit(&self, team: Option<usize>, more: &Room) -> bool {
-        let teams = &self.view.settings.settings.teams;
-        team.is_some_and(|n| within_limit(&teams[n], &self.usage[n], more))
+    /// Whether a chooser's team stays within its guarantee with one more task of it.
+    pub fn guaranteed(&self, c: &Chooser) -> bool {
+        c.team.is_some_and(|t| self.teams[t].guaranteed(amounts_of(&c.spec)))
+    }
+
+    /// Whether its team's limit leaves room for so many tasks of a chooser.
+    pub fn within_limit(&self, c: &Chooser, tasks: u32) -> bool {
+        c.team.is_some_and(|n| self.teams[n].allows(amounts_of(&c.spec).times(tasks)))
     }
 
     /// Counts what a plan would use.
-    pub fn plan_use(&mut self, team: Option<usize>, each: &Room) {
-        if let Some(team) = team {
-            self.usage[team].give(each);
+    pub fn plan_use(&mut self, c: &Chooser) {
+        if let Some(team) = c.team {
+            self.teams[team].take(amounts_of(&c.spec));
         }
     }
 
@@ -276,7 +289,7 @@
             return false;
         }
         self.out.steps.push(Step::Bind(c.id.clone(), machine));
-        self.plan_use(c.team, &Room::of(&c.spec));
+        self.plan_use(c);
         self.binds += 1;
         true
     }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -13,7 +13,7 @@
 pub use lines::{Line, Lines, Slot};
 pub use rentals::{Market, Rentals, Wish};
 pub use reports::Source;
-pub use rooms::{Guard, Refusal, usable, within_limit};
+pub use rooms::{Guard, Refusal, amounts_of, cap_of, usable};
 pub use sheets::{Ledger, Passage, Sheet, SheetRecord, entry_bytes};
 
 use crate::Time;
--- a/crates/core/src/tables/rooms.rs
+++ b/crates/core/src/tables/rooms.rs
@@ -7,6 +7,7 @@
 use crate::machine::{Machine, MachineType, Room, Standing};
 use crate::settings::Team;
 use std::collections::BTreeMap;
+use swiftsail_amounts::{Amounts, Cap};
 
 impl Tables {
     /// Counts the free room of the machines whose work has changed.
@@ -20,20 +21,28 @@
     }
 
     /// What each team's tasks take, counting everything not proved gone.
-    pub fn usage(&self, teams: &[Team]) -> Vec<Room> {
-        let mut usage = vec![Room::default(); teams.len()];
+    pub fn usage(&self, teams: &[Team]) -> Vec<Amounts> {
+        let mut usage = vec![Amounts::default(); teams.len()];
         for job in self.jobs.values() {
-            let held = job.attempts.values().filter(|a| a.occupies()).count() as f64;
-            if let Some(team) = teams.iter().position(|t| held > 0.0 && t.name == job.spec.team) {
-                let each = Room::of(&job.spec);
-                usage[team].cpus += each.cpus * held;
-                usage[team].gpus += each.gpus * held;
+            let held = job.attempts.values().filter(|a| a.occupies()).count() as u32;
+            if let Some(team) = teams.iter().position(|t| held > 0 && t.name == job.spec.team) {
+                usage[team] += amounts_of(&job.spec).times(held);
             }
         }
         usage
     }
 }
 
+/// What one task takes of its team's limit.
+pub fn amounts_of(spec: &Spec) -> Amounts {
+    Amounts::need(spec.cpus, spec.gpus)
+}
+
+/// A team's limit.
+pub fn cap_of(team: &Team) -> Cap {
+    Cap::of_settings(team.cpus_max, team.gpus_max)
+}
+
 /// Room left on a machine, and whether replicas are on it, counted from the tables.
 fn free_room(jobs: &BTreeMap<JobId, Job>, machine: &Machine, kind: &MachineType) -> (Room, bool) {
     let (mut room, mut anchored) = (kind.room(), false);
@@ -80,18 +89,12 @@
     Ledger,
 }
 
-/// Whether a team's limit leaves room for what a task, or several, would take.
-pub fn within_limit(team: &Team, used: &Room, more: &Room) -> bool {
-    (team.cpus_max <= 0.0 || used.cpus + more.cpus <= team.cpus_max + SLACK)
-        && (team.gpus_max <= 0.0 || used.gpus + more.gpus <= team.gpus_max + SLACK)
-}
-
 /// The rules themselves, read from the tables at the moment of binding, whoever planned it: no
 /// plan, policy or plug-in gets past this.
 pub struct Guard<'a> {
     teams: &'a [Team],
     types: &'a [MachineType],
-    usage: Vec<Room>,
+    usage: Vec<Amounts>,
 }
 
 impl<'a> Guard<'a> {
@@ -143,7 +146,7 @@
         let Some(team) = self.teams.iter().position(|t| t.name == spec.team) else {
             return Err(Refusal::Limit);
         };
-        if !within_limit(&self.teams[team], &self.usage[team], &Room::of(spec)) {
+        if !cap_of(&self.teams[team]).allows(self.usage[team], amounts_of(spec)) {
             return Err(Refusal::Limit);
         }
         if !gang && tables.ledger.room() == 0 {
@@ -155,7 +158,7 @@
     /// Counts a task just bound.
     pub fn count(&mut self, spec: &Spec) {
         if let Some(team) = self.teams.iter().position(|t| t.name == spec.team) {
-            self.usage[team].give(&Room::of(spec));
+            self.usage[team] += amounts_of(spec);
         }
     }
 }
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,174 @@
+//! Teams at their limit: exact amounts, the order in which jobs get them, and one controller's behaviour.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use swiftsail_amounts::order::{Claim, share_out};
+use swiftsail_amounts::{Amount, Amounts, Cap};
+use swiftsail_core::job::Stage;
+use swiftsail_core::node::Node;
+use swiftsail_standin::world::{Weather, World, job};
+
+fn runner() -> TestRunner {
+    let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[23; 32]))
+}
+
+const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
+
+/// Tasks of 0.1 CPUs that came and went left a limit of 10 a little short when sums were binary.
+#[test]
+fn fractions_do_not_drift() {
+    let cap = Cap::of_settings(10.0, 0.0);
+    let each = Amounts::need(0.1, 0.0);
+    let mut used = Amounts::default();
+    for _ in 0..1_000 {
+        used += each.times(99);
+        used -= each.times(98);
+        used -= each;
+    }
+    assert_eq!(used, Amounts::default());
+    assert!(cap.allows(each.times(99), each));
+    assert!(!cap.allows(each.times(100), Amounts { cpus: Amount::of_parts(1), ..used }));
+    assert!(Cap::of_settings(0.0, 0.0).allows(each.times(u32::MAX), each.times(u32::MAX)));
+}
+
+fn claims() -> impl Strategy<Value = Vec<Claim>> {
+    let claim = (0..3usize, 0..4u8, 0..12u32, 0..6u32, 1..40u32, any::<bool>(), any::<bool>());
+    let claim = (claim, prop::option::of(1_000.0..400_000.0f64), 5_000.0..90_000.0f64);
+    let claim =
+        claim.prop_map(|((class, rank, waiting, running, each, endless, whole), left, run)| {
+            Claim {
+                class,
+                rank,
+                endless,
+                whole: whole && !endless,
+                left_ms: left,
+                waiting,
+                running: f64::from(running),
+                each: Amounts::need(f64::from(each) / 10.0, 0.0),
+                run_ms: run,
+            }
+        });
+    prop::collection::vec(claim, 1..12)
+}
+
+/// Whatever is asked: never more than is left, never part of a gang, and nothing is left standing that
+/// a claim of the highest rank could take whole.
+#[test]
+fn what_is_shared_out_is_never_more_than_is_left() {
+    let input = (claims(), 0..4_000u32);
+    runner()
+        .run(&input, |(claims, left)| {
+            let left = Amounts::limit(f64::from(left) / 10.0, 0.0);
+            let used: f64 = claims.iter().map(|c| c.running * c.each.cpus.number()).sum();
+            let grants = share_out(left, left.cpus.number() + used, &claims);
+            let given: Amounts = claims.iter().zip(&grants).map(|(c, n)| c.each.times(*n)).sum();
+            prop_assert!(left.covers(given), "{given:?} of {left:?}");
+            for (claim, n) in claims.iter().zip(&grants) {
+                prop_assert!(
+                    *n <= claim.waiting && (!claim.whole || *n == 0 || *n == claim.waiting)
+                );
+            }
+            let top = claims.iter().map(|c| c.rank).max();
+            let endless =
+                claims.iter().zip(&grants).filter(|(c, _)| c.endless && Some(c.rank) == top);
+            for (claim, n) in endless {
+                prop_assert!(*n == claim.waiting || !(left - given).covers(claim.each));
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn array(class: usize, waiting: u32, left_ms: f64) -> Claim {
+    Claim {
+        class,
+        rank: 1,
+        endless: false,
+        whole: false,
+        left_ms: Some(left_ms),
+        waiting,
+        running: 0.0,
+        each: Amounts::need(1.0, 0.0),
+        run_ms: 10_000.0,
+    }
+}
+
+/// Three jobs of 10 s and 10 CPUs in all: two can be done in time. The one that would make both late is
+/// put off, though its deadline is the soonest.
+#[test]
+fn the_job_that_would_make_others_late_is_put_off() {
+    let claims = [array(0, 30, 30_000.0), array(0, 10, 32_000.0), array(0, 10, 36_000.0)];
+    assert_eq!(share_out(Amounts::limit(10.0, 0.0), 10.0, &claims), [0, 10, 0]);
+    // Alone it would be in time, and its deadline is the soonest.
+    let claims = [array(0, 10, 90_000.0), array(0, 10, 50_000.0)];
+    assert_eq!(share_out(Amounts::limit(10.0, 0.0), 10.0, &claims), [0, 10]);
+}
+
+/// Every class has its part, however much another wants; and a gang larger than what comes free at once
+/// is saved up for.
+#[test]
+fn no_class_is_starved_by_a_larger_one() {
+    let small = array(1, 4, 300_000.0);
+    let grants = share_out(Amounts::limit(10.0, 0.0), 10.0, &[array(0, 500, 60_000.0), small]);
+    assert_eq!(grants, [6, 4]);
+    let gang =
+        Claim { whole: true, waiting: 2, each: Amounts::need(21.0, 0.0), ..array(1, 0, 3e5) };
+    let full = Claim { running: 90.0, ..array(0, 500, 60_000.0) };
+    for left in [0.0, 10.0, 41.0] {
+        let grants = share_out(Amounts::limit(left, 0.0), 100.0, &[full.clone(), gang.clone()]);
+        assert_eq!(grants, [0, 0], "{left} is saved up");
+    }
+    let grants = share_out(Amounts::limit(45.0, 0.0), 100.0, &[full, gang]);
+    assert_eq!(grants[1], 2);
+}
+
+fn red_use(world: &World, what: impl Fn(&swiftsail_core::job::Job) -> bool) -> f64 {
+    let tables = world.nodes.iter().flatten().find_map(Node::tables).expect("somebody leads");
+    let jobs = tables.jobs.values().filter(|j| j.spec.team == "red" && what(j));
+    let running = |j: &swiftsail_core::job::Job| {
+        let attempts = j.attempts.values().filter(|a| a.stage() == Stage::Running);
+        attempts.count() as f64 * j.spec.cpus
+    };
+    jobs.map(running).sum()
+}
+
+/// A replica of a team at its limit used to wait until enough of its team's arrays had ended by themselves.
+#[test]
+fn a_replica_does_not_wait_for_its_own_teams_arrays() {
+    let mut world = World::sized(4, CALM, 1_000, 20);
+    let mut long = job("wk-a1", "array", "red", 60, 2.0, 400.0);
+    (long["due_s"], long["driftwood"]) = (serde_json::Value::Null, false.into());
+    world.submit(500, None, long);
+    world.run(40_000);
+    assert_eq!(red_use(&world, |_| true), 40.0, "the team is at its limit");
+    world.submit(40_500, None, job("wk-s1", "service", "red", 4, 2.0, 0.0));
+    world.run(60_000);
+    assert_eq!(red_use(&world, |j| j.id.as_ref() == "wk-s1"), 8.0, "{}", world.held("wk-s1"));
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let first = world.plant.halted.len();
+    world.run(90_000);
+    assert_eq!((first, world.plant.halted.len()), (4, 4), "only as much is stopped as it lacks");
+}
+
+/// Machines that only work over its team's limit could use were kept, and paid for, as long as it waited.
+#[test]
+fn machines_that_nobody_may_use_go_back() {
+    let mut world = World::sized(5, CALM, 1_000, 20);
+    // Blue's work leaves many machines behind, and red waits at its limit all the while.
+    let mut blue = job("wk-b1", "array", "blue", 120, 2.0, 10.0);
+    blue["driftwood"] = false.into();
+    let mut red = job("wk-a1", "array", "red", 200, 2.0, 400.0);
+    (red["driftwood"], red["due_s"]) = (false.into(), serde_json::Value::Null);
+    world.submit(500, None, blue);
+    world.submit(600, None, red);
+    let machines = |world: &World| world.plant.workers.values().filter(|w| !w.gone).count();
+    world.run(25_000);
+    let most = machines(&world);
+    world.run(80_000);
+    assert_eq!(red_use(&world, |_| true), 40.0, "red is at its limit, and more of it waits");
+    let cpus = |w: &swiftsail_standin::worker::Worker| w.hardware.room[0];
+    let up: f64 = world.plant.workers.values().filter(|w| !w.gone).map(cpus).sum();
+    assert!(most > 30 && up <= 48.0, "{up} CPUs are paid for, {most} machines before");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
