Amounts for many deciders: accounts, moves by need, lent rates, and an explorer of small worlds

Change: crates/amounts gains accounts (a page's pool and holdings in the state service, every move one transaction over the records on both sides and the holder's token; what may be used is the least of before and after whatever is on its way), a planner (need by urgency, pool first, then whoever seems to have most; recall of less urgent work for production; even parts for equals, with hysteresis; unused amounts go back), and rates as loans that need no shared clock. The stand-ins gain an explorer of small worlds, breadth first.

--- a/crates/amounts/src/constants.rs
+++ b/crates/amounts/src/constants.rs
@@ -14,3 +14,43 @@
 pub const BUSY_MARGIN: f64 = 1.1;
 /// Part of a task's run time added for the last of a job, which runs longer than the mean.
 pub const TAIL_MARGIN: f64 = 1.0;
+/// CPUs or accelerators that stand for "no limit" where amounts move: more than any cluster has, and few
+/// enough that sums of them stay whole numbers.
+pub const UNLIMITED: f64 = 1e8;
+
+// ---- rates ---------------------------------------------------------------------------------------
+
+/// Time of a loan, ms: long against a message between controllers, short against the time for which load
+/// stays where it is.
+pub const LOAN_MS: u64 = 4_000;
+/// Part of that for which the lender waits longer: steady clocks differ by at most 0.05% (protocol).
+pub const LOAN_DRIFT_PART: u64 = 1_000;
+/// Time between two questions to the same controller, ms: the next loan is there before the last is over.
+pub const LOAN_AGAIN_MS: u64 = 1_500;
+/// Part of its base that a controller lends at most: users' requests may come to it at any moment.
+pub const LOAN_MOST: f64 = 0.75;
+/// Part of the base below which a loan is not worth its messages.
+pub const LOAN_LEAST: f64 = 0.05;
+/// What is kept for a rate that is used, in times of it.
+pub const LOAN_SPARE: f64 = 1.25;
+
+// ---- who gets how much ---------------------------------------------------------------------------
+
+/// Parts of a limit: less than one is not worth a transaction, unless it is all that is wanted.
+pub const PIECES: i64 = 100;
+/// Time for which an amount is unused before it goes back to the pool, ms: work that ends is followed by more.
+pub const SPARE_MS: u64 = 2_000;
+/// Time between two questions for the same team to the same decider, ms.
+pub const ASK_AGAIN_MS: u64 = 500;
+/// Time for which a question holds, ms: it is asked again while the need lasts.
+pub const ASK_LASTS_MS: u64 = 2_000;
+/// Time for which what was got is not given away again, but to production, ms: no ping-pong.
+pub const KEEP_MS: u64 = 3_000;
+/// Time between two tellings of what is had and needed, ms.
+pub const TELL_MS: u64 = 1_000;
+/// Time after which what another told says nothing any more, ms.
+pub const TOLD_FRESH_MS: u64 = 5_000;
+/// Part of what a decider has of a team by which another must be worse off before the two are evened out.
+pub const EVEN_PART: i64 = 6;
+/// Time after which work is stopped again for a lowered limit, ms: what was stopped is proved gone by then.
+pub const FREE_AGAIN_MS: u64 = 3_000;
--- a/crates/amounts/src/lib.rs
+++ b/crates/amounts/src/lib.rs
@@ -3,14 +3,23 @@
 //!
 //! - [`fixed`]: amounts of CPUs and accelerators as whole numbers, so that no sum drifts.
 //! - [`order`]: which jobs of a team get what its limit leaves, when that is less than they want.
+//! - [`records`]: what the state service holds where several decide.
+//! - [`account`]: one decider's part of it: amounts move by conditional transactions.
+//! - [`planner`]: who gets how much, by need.
+//! - [`rates`]: requests a second that belong to all controllers, lent where they are not used.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod account;
 pub mod constants;
 pub mod fixed;
 pub mod order;
+pub mod planner;
+pub mod rates;
+pub mod records;
 
+pub use account::Account;
 pub use fixed::{Amount, Amounts, Cap};
 
 /// Steady time in ms.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod accounts;
 pub mod chance;
 pub mod cloud;
 pub mod constants;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,8 +4,10 @@
 
 #![forbid(unsafe_code)]
 
+pub mod amounts;
 pub mod cloud;
 pub mod constants;
+pub mod explorer;
 pub mod plant;
 pub mod store;
 pub mod worker;
