What is rented is spread over the zones, and not where machines are silent

Change: a zone adds up to 2% to the cost of a machine by its share of the machines of that type, and ten times its cost while most of its machines are silent.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -210,6 +210,13 @@
 pub const NO_CAPACITY_MS: u64 = 8_000;
 /// Longest such pause, ms.
 pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
+/// What a zone that holds all machines of a type adds to the cost of one more, as a share of it: zones cost
+/// the same, and what is in several is not lost with one. A dearer type is not taken for it.
+pub const ZONE_COST: f64 = 0.02;
+/// The same where most machines are silent: what is rented there may not be reached, but nothing else may do.
+pub const SILENT_ZONE_COST: f64 = 10.0;
+/// Machines that a zone has for its silence to say something.
+pub const SILENT_ZONE_LEAST: u32 = 5;
 /// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
 pub const RENT_WAIT_MS: f64 = 120_000.0;
 /// While few more machines can be led, a machine itself weighs as much as this share of the price of a
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -3,9 +3,10 @@
 use super::chooser::Chooser;
 use super::places::{Place, What};
 use super::round::Round;
+use crate::Time;
 use crate::chance::Pmf;
 use crate::constants::*;
-use crate::machine::Room;
+use crate::machine::{Room, Standing};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -13,6 +14,16 @@
 #[derive(Debug, Default)]
 pub(super) struct Open {
     known: HashMap<(usize, usize, bool), bool>,
+    zones: Option<Zones>,
+}
+
+/// Where machines are, up or asked for.
+#[derive(Debug, Default)]
+struct Zones {
+    /// By type and zone.
+    machines: HashMap<(usize, usize), u32>,
+    /// Zones most of whose machines are silent.
+    silent: Vec<usize>,
 }
 
 impl Round<'_> {
@@ -31,6 +42,53 @@
         open
     }
 
+    /// What a zone adds to the cost of a machine, as a share of it. Zones cost the same, and the first was
+    /// always taken: all gangs of a cluster stood in the zone that was cut off. Where most machines are silent
+    /// what is rented may not be reached.
+    fn zone_cost(&mut self, kind: usize, zone: usize) -> f64 {
+        if self.market.zones.is_none() {
+            self.market.zones = Some(self.count_zones());
+        }
+        let Some(zones) = &self.market.zones else { return 0.0 };
+        let mut all = 1;
+        let mut here = 0;
+        let wished = self.wishes.iter().map(|((k, z, _), n)| ((*k, *z), *n));
+        for ((k, z), n) in zones.machines.iter().map(|(at, n)| (*at, *n)).chain(wished) {
+            if k == kind {
+                all += n;
+                here += if z == zone { n } else { 0 };
+            }
+        }
+        let silent = if zones.silent.contains(&zone) { SILENT_ZONE_COST } else { 0.0 };
+        ZONE_COST * f64::from(here) / f64::from(all) + silent
+    }
+
+    fn count_zones(&mut self) -> Zones {
+        let (tables, types) = (self.tables, self.types);
+        let mut zones = Zones::default();
+        let mut silent: HashMap<usize, (u32, u32)> = HashMap::new();
+        let quiet = self.view.lease_ms() * QUIET_SHARE;
+        for machine in tables.machines.values() {
+            let Some(kind) = types.iter().position(|t| t.name == machine.kind) else { continue };
+            let zone = self.zone_number(&machine.zone);
+            *zones.machines.entry((kind, zone)).or_default() += 1;
+            let count = silent.entry(zone).or_default();
+            count.0 += u32::from(machine.standing() == Standing::Ready);
+            let late = |at: Time| self.view.now.saturating_sub(at) as f64 > quiet;
+            count.1 +=
+                u32::from(machine.standing() == Standing::Ready && machine.heard.is_some_and(late));
+        }
+        for (wish, _) in tables.rentals.asked() {
+            let Some(kind) = types.iter().position(|t| t.name == wish.kind) else { continue };
+            let zone = self.zone_number(&wish.zone);
+            *zones.machines.entry((kind, zone)).or_default() += wish.number;
+        }
+        let most =
+            silent.into_iter().filter(|(_, (up, late))| *up >= SILENT_ZONE_LEAST && late * 2 > *up);
+        zones.silent = most.map(|(zone, _)| zone).collect();
+        zones
+    }
+
     /// Whether a chooser's task passes on a machine of a type rented now.
     fn passes(&mut self, c: &mut Chooser, kind: usize) -> bool {
         if let Some(known) = c.passes[kind] {
@@ -71,6 +129,7 @@
                     // A second of waiting for work to start weighs like a little money.
                     let wait = t.boot_ms + t.fetch_ms(&c.spec);
                     let mut cost = cost * (1.0 + wait / RENT_WAIT_MS);
+                    cost *= 1.0 + self.zone_cost(kind, zone);
                     if self.view.steering.bounds.scarce {
                         cost *= 1.0 + SCARCE_COST / f64::from(fits.min(demand));
                     }
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -63,3 +63,20 @@
     assert_eq!(on(&world), before);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// Zones cost the same, and the first was always taken: all gangs stood in the zone that was cut off.
+#[test]
+fn what_is_rented_is_spread_over_the_zones() {
+    let mut world = World::sized(3, CALM, 1_000, 6);
+    for n in 0..6 {
+        let mut gang = gang(&format!("wk-{n}"), 1, 200.0);
+        (gang["dock"], gang["pull_gb"]) = (serde_json::Value::Null, 0.5.into());
+        world.submit(500 + n * 5_000, None, gang);
+    }
+    world.run(60_000);
+    let mut zones = std::collections::BTreeMap::new();
+    for worker in world.plant.workers.values().filter(|w| !w.gone) {
+        *zones.entry(worker.hardware.zone.clone()).or_insert(0) += 1;
+    }
+    assert!(zones.len() == 3 && zones.values().all(|n| *n == 2), "{zones:?}");
+}
