Guarantees by the sum: what others borrowed is recalled where most of it is

Need: with several deciders a team may use little of its guarantee on one and much on another.

Change: the planner counts a team's use in all (of a decider that told nothing lately all that it holds), and recalls what is borrowed from the decider that uses most of it: a state machine that ends with proof, one question at a time for each team.

--- a/crates/amounts/src/constants.rs
+++ b/crates/amounts/src/constants.rs
@@ -54,3 +54,8 @@
 pub const EVEN_PART: i64 = 6;
 /// Time after which work is stopped again for a lowered limit, ms: what was stopped is proved gone by then.
 pub const FREE_AGAIN_MS: u64 = 3_000;
+/// Time within which borrowed work that is recalled should be proved gone, ms: stops and reports of machines
+/// that are heard; then another is asked.
+pub const RECALL_MS: u64 = 6_000;
+/// Time for which the room is not filled again with the same team's work, ms: what it was recalled for comes.
+pub const RECALL_HOLD_MS: u64 = 5_000;
--- a/tests/deciders.rs
+++ b/tests/deciders.rs
@@ -532,6 +532,37 @@
     assert_eq!(page.holdings.len(), 2);
 }
 
+/// A guarantee is by the sum: a team that uses little here and much elsewhere is beyond it. What others borrowed
+/// is recalled where most of it is, once, and answered when it is proved gone.
+#[test]
+fn borrowed_work_is_recalled_where_most_of_it_is() {
+    let mut day = Day::new(13, 3);
+    let used = |d: &Day, n: usize| Day::need(&d.deciders[n], 1).uses().cpus.number();
+    day.run(12_000, |d| {
+        for (n, most) in [(0, 20.0), (1, 60.0), (2, 10.0)] {
+            if used(d, n) < most {
+                keep(d, n, 1, 2, 5.0);
+            }
+        }
+    });
+    let guarantees = BTreeMap::from([(team(1), Amounts::limit(30.0, 0.0))]);
+    let before: Vec<f64> = (0..3).map(|n| used(&day, n)).collect();
+    let now = day.now;
+    let holder = day.deciders[0].holder.as_mut().expect("a holder");
+    let one = Amounts::need(1.0, 0.0);
+    assert!(!holder.guaranteed(&team(1), Amounts::limit(30.0, 0.0), one));
+    assert!(holder.guaranteed(&team(1), Amounts::limit(300.0, 0.0), one));
+    let lacks = Amounts::need(15.0, 0.0);
+    let asked = holder.recall(&guarantees, lacks, now).expect("there is something to recall");
+    assert!(holder.recall(&guarantees, lacks, now).is_none(), "one question at a time");
+    assert!(matches!(&asked, Action::Tell(to, _) if to == "share-1"), "{asked:?}");
+    day.act(0, vec![asked]);
+    day.run(1_500, |_| ());
+    assert!(used(&day, 1) <= before[1] - 15.0, "{before:?}, now {}", used(&day, 1));
+    let holder = day.deciders[0].holder.as_mut().expect("a holder");
+    assert!(holder.recall(&guarantees, lacks, day.now).is_some(), "the first has come to its end");
+}
+
 // ---- rates ---------------------------------------------------------------------------------------
 
 /// Controllers that share a rate, with needs that come all at once and go, and messages that come late or
