Why it waits: explain and the status line name limits; a deeper exploration as an example

`plugin explain JOB` tells what a job's tasks wait for, what its team uses of its limit and how many more tasks that leaves; the leader's status line names the teams that their limit holds back.

--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -4,6 +4,7 @@
 use crate::constants::*;
 use crate::job::Stage;
 use crate::machine::Standing;
+use crate::tables::{amounts_of, cap_of};
 use std::collections::BTreeMap;
 
 impl Node {
@@ -44,6 +45,17 @@
                 format!("{n} {kind}{} {free:.0} free", if *spot { " spot" } else { "" })
             })
             .collect();
+        // Teams that their limit holds back: what they use, and how many of their tasks wait.
+        let teams = &self.settings.settings.teams;
+        let mut limits = Vec::new();
+        for (team, used) in teams.iter().zip(leader.usage(teams)) {
+            let own = leader.jobs.values().filter(|j| j.spec.team == team.name);
+            let back = own.filter(|j| !cap_of(team).allows(used, amounts_of(&j.spec)));
+            let back: usize = back.map(|j| j.waiting.len()).sum();
+            if back > 0 {
+                limits.push(format!("{} {:.0} CPUs, {back} wait", team.name, used.cpus.number()));
+            }
+        }
         let ready = leader.machines.values().filter(|m| m.standing() == Standing::Ready);
         let free: f64 = ready.clone().filter_map(|m| m.free()).map(|r| r.cpus).sum();
         let ready = ready.count();
@@ -72,6 +84,7 @@
             upkeep = format!("{:.2}", self.upkeep.share().unwrap_or(0.0)),
             machines_most = self.machines_most().0,
             kinds = kinds.join(", "),
+            at_limit = limits.join(", "),
             "status"
         );
     }
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -3,11 +3,11 @@
 
 use super::{Node, Now, Reply};
 use crate::constants::*;
-use crate::job::{Job, JobId, JobState, Kind, Priority, Spec};
+use crate::job::{Job, JobId, JobState, Kind, Muster, Priority, Spec};
 use crate::machine::{MachineType, Standing};
 use crate::settings::Team;
 use crate::steering::{JobSteering, Steering};
-use crate::tables::Tables;
+use crate::tables::{Tables, amounts_of, cap_of};
 use std::collections::{BTreeMap, HashMap};
 use swiftsail_amounts::Amounts;
 use swiftsail_policy::facts::{CLASS, CLUSTER, Facts, JOB, TEAM, Value};
@@ -143,6 +143,7 @@
         Some(serde_json::json!({
             "job": id,
             "priority": job.spec.priority,
+            "waits": waits(job, teams, &usage),
             "policy": { "threshold": set.threshold, "spot_share": set.spot_share },
             "hooks": verdicts,
             "taken": {
@@ -156,6 +157,33 @@
     }
 }
 
+/// Why tasks of a job wait, as far as its team's limit and what the job itself does say.
+fn waits(job: &Job, teams: &[Team], usage: &[Amounts]) -> serde_json::Value {
+    let team = teams.iter().zip(usage).find(|(t, _)| t.name == job.spec.team);
+    let each = amounts_of(&job.spec);
+    let limit = team.map(|(team, used)| {
+        let cap = cap_of(team);
+        serde_json::json!({
+            "team": team.name,
+            "cpus_used": used.cpus.number(),
+            "cpus_most": team.cpus_max,
+            "gpus_used": used.gpus.number(),
+            "gpus_most": team.gpus_max,
+            "more_tasks": cap.left(*used).holds(each),
+        })
+    });
+    let held_back = team.is_some_and(|(t, used)| !cap_of(t).allows(*used, each));
+    let why = match (job.waiting.is_empty(), job.muster()) {
+        (true, _) if job.held.is_empty() => "nothing waits",
+        (true, _) => "a pause after a failure",
+        (false, Muster::Fetching) => "the rest of the gang still fetches its image",
+        (false, Muster::Leaving) => "the rest of the gang is being stopped",
+        (false, Muster::Whole) if held_back => "its team's limit",
+        (false, Muster::Whole) => "room, or a place where its chance is above the threshold",
+    };
+    serde_json::json!({ "tasks": job.waiting.len(), "for": why, "limit": limit })
+}
+
 /// What holds for jobs that nothing distinguishes.
 fn usual(policy: &mut Policy) -> JobSteering {
     let none = Facts::new(&[], Vec::new());
--- /dev/null
+++ b/examples/explore.rs
@@ -0,0 +1,46 @@
+//! Explores small worlds in which deciders move amounts, deeper than the tests do:
+//! `cargo run --release --example explore -- --worlds 4000000`. Figures go into docs/amounts.md.
+
+use clap::Parser;
+use std::time::Instant;
+use swiftsail_standin::amounts::{Chances, Deciders, Without};
+use swiftsail_standin::explorer::explore;
+
+#[derive(Parser)]
+struct Args {
+    /// Worlds entered at most; each takes some 2 KB while it waits for its turn.
+    #[arg(long, default_value_t = 1_000_000)]
+    worlds: usize,
+    /// Steps of a history at most.
+    #[arg(long, default_value_t = 60)]
+    depth: usize,
+    /// Deciders.
+    #[arg(long, default_value_t = 2)]
+    deciders: usize,
+    /// The team's limit, in tasks.
+    #[arg(long, default_value_t = 2)]
+    limit: i64,
+    /// Crashes, lost answers and changes of settings.
+    #[arg(long, num_args = 3, default_values_t = [1, 1, 1])]
+    chances: Vec<u8>,
+}
+
+fn main() {
+    let args = Args::parse();
+    let [crashes, losses, changes] = args.chances[..] else { return };
+    let chances = Chances { crashes, losses, changes };
+    let first = Deciders::new(args.deciders, args.limit, Without::Nothing, chances);
+    let begin = Instant::now();
+    let found = explore(first.begun(args.limit), args.depth, args.worlds);
+    println!(
+        "{} worlds, histories of up to {} steps{}, {:.1} s",
+        found.worlds,
+        found.depth,
+        if found.whole { ", all there are" } else { "" },
+        begin.elapsed().as_secs_f64()
+    );
+    match found.broken {
+        Some((what, history)) => println!("broken: {what}\n{history:#?}"),
+        None => println!("nothing is broken"),
+    }
+}
--- a/src/commands/plugins.rs
+++ b/src/commands/plugins.rs
@@ -195,6 +195,13 @@
         return show::json(found);
     }
     let mut rows = Vec::new();
+    for part in ["waits", "limit"] {
+        let said = if part == "limit" { &found["waits"]["limit"] } else { &found["waits"] };
+        for (name, value) in said.as_object().into_iter().flatten().filter(|(_, v)| !v.is_object())
+        {
+            rows.push(vec![name.clone(), part.into(), show::cell(value)]);
+        }
+    }
     for (name, value) in found["policy"].as_object().into_iter().flatten() {
         rows.push(vec![name.clone(), "policy".into(), show::cell(value)]);
     }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -5,7 +5,7 @@
 use swiftsail_amounts::order::{Claim, share_out};
 use swiftsail_amounts::{Amount, Amounts, Cap};
 use swiftsail_core::job::Stage;
-use swiftsail_core::node::Node;
+use swiftsail_core::node::{AdminAsk, Node};
 use swiftsail_standin::world::{Weather, World, job};
 
 fn runner() -> TestRunner {
@@ -174,3 +174,43 @@
     assert!(most > 30 && up <= 48.0, "{up} CPUs are paid for, {most} machines before");
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// "Why is it waiting?" names the limit, what the team uses of it, and how many more tasks it leaves.
+#[test]
+fn operators_are_told_that_a_limit_holds_work_back() {
+    let mut world = World::sized(6, CALM, 1_000, 20);
+    let mut long = job("wk-a1", "array", "red", 60, 2.0, 400.0);
+    long["due_s"] = serde_json::Value::Null;
+    world.submit(500, None, long);
+    world.run(40_000);
+    let asks: Vec<u64> =
+        (0..3).map(|n| world.ask(40_100, n, AdminAsk::Explain("wk-a1".into()))).collect();
+    world.run(41_000);
+    let found = asks.iter().filter_map(|id| world.answers.get(id)).find(|r| r.status == 200);
+    let told: serde_json::Value =
+        serde_json::from_slice(&found.expect("the leader answers").body).expect("JSON");
+    assert_eq!(told["waits"]["for"], "its team's limit", "{told}");
+    let limit = &told["waits"]["limit"];
+    assert_eq!((limit["cpus_used"].as_f64(), limit["more_tasks"].as_u64()), (Some(40.0), Some(0)));
+}
+
+/// A page of teams fits the smallest value that a platform allows, with long names and any amounts.
+#[test]
+fn a_page_of_teams_fits_a_value() {
+    use swiftsail_amounts::records::{Holding, Kept, Pool};
+    use swiftsail_core::accounts::{PAGE_TEAMS, pages};
+    let name = |n: usize| format!("{n:03}-{}", "x".repeat(40));
+    let names: Vec<String> = (0..100).map(name).collect();
+    let pages = pages(names);
+    assert_eq!(pages.iter().map(Vec::len).sum::<usize>(), 100);
+    assert!(pages.iter().all(|p| p.len() <= PAGE_TEAMS));
+    let much = Amounts::limit(99_999_999.999, 99_999_999.999);
+    let kept = Kept { limit: much, target: much, free: much };
+    let pool = Pool { teams: pages[0].iter().map(|t| (t.clone(), kept)).collect() };
+    let has = pages[0].iter().map(|t| (t.clone(), much)).collect();
+    let sees = pages[0].iter().map(|t| (t.clone(), much)).collect();
+    let holding = Holding { by: (u64::MAX, u64::MAX), has, sees };
+    for bytes in [serde_json::to_vec(&pool), serde_json::to_vec(&holding)] {
+        assert!(bytes.expect("JSON").len() <= 8 * 1024);
+    }
+}
