--- a/crates/amounts/src/account.rs
+++ b/crates/amounts/src/account.rs
@@ -112,6 +112,23 @@
         after.map_or(has, |after| has.with(after, Amount::min))
     }
 
+    /// This decider's part of what a lowered limit is still above what is wanted.
+    pub fn owes(&self, team: &str) -> Amounts {
+        let Some(kept) = self.page.pool.0.teams.get(team) else {
+            return Amounts::default();
+        };
+        let part = |owed: Amount, has: Amount, limit: Amount| {
+            let (owed, has) = (i128::from(owed.parts()), i128::from(has.parts()));
+            let limit = i128::from(limit.parts()).max(1);
+            Amount::of_parts(i64::try_from((owed * has + limit - 1) / limit).unwrap_or(i64::MAX))
+        };
+        let (owed, has) = (kept.limit - kept.target, self.has(team));
+        Amounts {
+            cpus: part(owed.cpus, has.cpus, kept.limit.cpus),
+            gpus: part(owed.gpus, has.gpus, kept.limit.gpus),
+        }
+    }
+
     /// A limit in the settings.
     pub fn of_settings(cpus: f64, gpus: f64) -> Amounts {
         let most = crate::constants::UNLIMITED;
--- a/crates/amounts/src/fixed.rs
+++ b/crates/amounts/src/fixed.rs
@@ -178,6 +178,11 @@
         Cap(Amounts { cpus: cap(cpus), gpus: cap(gpus) })
     }
 
+    /// No more than that either.
+    pub fn at_most(self, held: Amounts) -> Cap {
+        Cap(self.0.with(held, Amount::min))
+    }
+
     /// What it leaves. An amount without a limit is left as more than anything.
     pub fn left(&self, used: Amounts) -> Amounts {
         let left = |cap: Amount, used: Amount| if cap == Amount::MAX { cap } else { cap - used };
--- a/crates/amounts/src/planner.rs
+++ b/crates/amounts/src/planner.rs
@@ -246,28 +246,11 @@
         most.with(self.need(team).uses(), |a, b| (a - b).max(Amount::ZERO))
     }
 
-    /// This decider's part of what a lowered limit is still above what is wanted.
-    fn owes(&self, team: &str) -> Amounts {
-        let Some(kept) = self.account.page().pool.0.teams.get(team) else {
-            return Amounts::default();
-        };
-        let part = |owed: Amount, has: Amount, limit: Amount| {
-            let (owed, has) = (i128::from(owed.parts()), i128::from(has.parts()));
-            let limit = i128::from(limit.parts()).max(1);
-            Amount::of_parts(i64::try_from((owed * has + limit - 1) / limit).unwrap_or(i64::MAX))
-        };
-        let (owed, has) = (kept.limit - kept.target, self.account.has(team));
-        Amounts {
-            cpus: part(owed.cpus, has.cpus, kept.limit.cpus),
-            gpus: part(owed.gpus, has.gpus, kept.limit.gpus),
-        }
-    }
-
     /// What is left to work of a level here while others are given to, or a limit is lowered.
     fn ceiling(&self, team: &str, level: usize) -> Option<Amounts> {
         let yields = self.giving.iter().filter(|((t, _), g)| t == team && g.level <= level);
         let targets = yields.map(|(_, g)| self.target(team, g));
-        let owes = self.owes(team);
+        let owes = self.account.owes(team);
         let owed = (owes != Amounts::default()).then(|| self.account.has(team) - owes);
         let recalled = self.recalls.get(team).filter(|_| level > 0).map(|r| r.most);
         targets.chain(owed).chain(recalled).reduce(|a, b| a.with(b, Amount::min))
@@ -611,9 +594,9 @@
     fn shrink(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.freed_at.retain(|_, at| now < *at + FREE_AGAIN_MS);
         for (team, need) in &self.needs {
-            let left = self.account.has(team) - self.owes(team);
+            let left = self.account.has(team) - self.account.owes(team);
             let over = (need.uses() - left).map(|a| a.max(Amount::ZERO));
-            let owes = self.owes(team) != Amounts::default();
+            let owes = self.account.owes(team) != Amounts::default();
             if owes && over != Amounts::default() && !self.freed_at.contains_key(team) {
                 self.freed_at.insert(team.clone(), now);
                 actions.push(Action::Free { team: team.clone(), level: 0, amount: over });
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -113,6 +113,11 @@
 /// Conflicts after which a cancellation is given back to its user.
 pub const CANCEL_TRIES: u32 = 5;
 
+/// Time between two readings of what is held of limits, where that is switched on, ms: settings change seldom,
+/// and a reading is one request.
+pub const DESK_READ_MS: u64 = 5_000;
+/// Time after which they are read again when that failed, ms.
+pub const DESK_AGAIN_MS: u64 = 500;
 /// Time between two lines of status in the leader's log, ms.
 pub const STATUS_MS: u64 = 10_000;
 
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -56,6 +56,10 @@
     WritePlugin { request: Option<RequestId>, name: String },
     /// Read a page of jobs for an operator.
     ListJobs { request: RequestId },
+    /// Read what is held of limits.
+    ReadAmounts,
+    /// Move amounts of a page; of a leader under its term.
+    Amounts { era: Option<u64>, page: usize, by: (u64, u64) },
     /// Create a job.
     Create { request: RequestId, job: JobId },
     /// Read a job for those who asked.
@@ -84,6 +88,7 @@
             | ResolveJob { era, .. }
             | ResolveChunk { era, .. }
             | Sweep { era } => Some(*era),
+            Amounts { era, .. } => *era,
             _ => None,
         }
     }
@@ -150,6 +155,10 @@
             | Purpose::FollowPlugins
             | Purpose::WritePlugin { .. }
             | Purpose::ListJobs { .. } => self.on_plugin_store(end),
+            Purpose::ReadAmounts => self.desk_read(&end.outcome),
+            Purpose::Amounts { era, page, by } => {
+                self.desk_moved(era.is_some(), page, by, &end.outcome);
+            }
             Purpose::Create { .. }
             | Purpose::ReadJob(_)
             | Purpose::ReadFinal(_)
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -76,6 +76,7 @@
         tracing::info!(term = token, "leading: reading the store");
         let era = self.term.era;
         self.loading = Some(Tables::new(token, era, now));
+        self.open_desk();
         let call = Call::List { prefix: keys::JOBS.into(), from: None };
         self.store.push(call, Purpose::LoadJobs { era }, Urgency::Term, Patience::Always);
     }
@@ -87,6 +88,7 @@
         self.leader = None;
         self.loading = None;
         self.counts.clear();
+        self.close_desk();
         let (rps, writes) = rates(&self.settings, false);
         self.store.set_rates(rps, writes, self.now.steady);
         let era = self.term.era;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod admin;
 mod calls;
 mod chunks;
+mod desk;
 mod effort;
 mod lead;
 mod ledger;
@@ -45,6 +46,7 @@
 use crate::store::{Call, Outcome, Patience, Store, Urgency};
 use crate::tables::Tables;
 use crate::term::{Phase, Term};
+use desk::Desk;
 use peers::Peer;
 use plugins::Plugins;
 use rand::rngs::StdRng;
@@ -224,6 +226,7 @@
     passed: HashMap<String, Passed>,
     held_reports: Vec<(RequestId, Box<Report>)>,
     relays: Relays,
+    desk: Desk,
     /// Workers by the controller that they report to, this one under its own name.
     loads: BTreeMap<Arc<str>, usize>,
     /// Workers are shared among controllers.
@@ -284,6 +287,11 @@
             passed: HashMap::new(),
             held_reports: Vec::new(),
             relays: Relays::default(),
+            desk: Desk::new(
+                operator.amounts.durable,
+                &settings.host_name,
+                &settings.settings.teams,
+            ),
             loads: BTreeMap::new(),
             sharing: false,
             read_at: 0,
@@ -393,6 +401,7 @@
         if let Some(leader) = &mut self.leader {
             self.direct.extend(leader.stops(now));
         }
+        self.tend_desk();
         self.tend_fleet();
         self.end_jobs();
         if let Some(leader) = &mut self.leader {
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -4,7 +4,7 @@
 use crate::constants::*;
 use crate::job::Stage;
 use crate::machine::Standing;
-use crate::tables::{amounts_of, cap_of};
+use crate::tables::amounts_of;
 use std::collections::BTreeMap;
 
 impl Node {
@@ -48,9 +48,10 @@
         // Teams that their limit holds back: what they use, and how many of their tasks wait.
         let teams = &self.settings.settings.teams;
         let mut limits = Vec::new();
-        for (team, used) in teams.iter().zip(leader.usage(teams)) {
+        for (n, (team, used)) in teams.iter().zip(leader.usage(teams)).enumerate() {
+            let cap = leader.cap(n, team);
             let own = leader.jobs.values().filter(|j| j.spec.team == team.name);
-            let back = own.filter(|j| !cap_of(team).allows(used, amounts_of(&j.spec)));
+            let back = own.filter(|j| !cap.allows(used, amounts_of(&j.spec)));
             let back: usize = back.map(|j| j.waiting.len()).sum();
             if back > 0 {
                 limits.push(format!("{} {:.0} CPUs, {back} wait", team.name, used.cpus.number()));
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -7,7 +7,7 @@
 use crate::machine::{MachineType, Standing};
 use crate::settings::Team;
 use crate::steering::{JobSteering, Steering};
-use crate::tables::{Tables, amounts_of, cap_of};
+use crate::tables::{Tables, amounts_of};
 use std::collections::{BTreeMap, HashMap};
 use swiftsail_amounts::Amounts;
 use swiftsail_policy::facts::{CLASS, CLUSTER, Facts, JOB, TEAM, Value};
@@ -143,7 +143,7 @@
         Some(serde_json::json!({
             "job": id,
             "priority": job.spec.priority,
-            "waits": waits(job, teams, &usage),
+            "waits": waits(leader, job, teams, &usage),
             "policy": { "threshold": set.threshold, "spot_share": set.spot_share },
             "hooks": verdicts,
             "taken": {
@@ -158,11 +158,11 @@
 }
 
 /// Why tasks of a job wait, as far as its team's limit and what the job itself does say.
-fn waits(job: &Job, teams: &[Team], usage: &[Amounts]) -> serde_json::Value {
-    let team = teams.iter().zip(usage).find(|(t, _)| t.name == job.spec.team);
+fn waits(tables: &Tables, job: &Job, teams: &[Team], usage: &[Amounts]) -> serde_json::Value {
+    let number = teams.iter().position(|t| t.name == job.spec.team);
+    let team = number.map(|n| (&teams[n], &usage[n], tables.cap(n, &teams[n])));
     let each = amounts_of(&job.spec);
-    let limit = team.map(|(team, used)| {
-        let cap = cap_of(team);
+    let limit = team.map(|(team, used, cap)| {
         serde_json::json!({
             "team": team.name,
             "cpus_used": used.cpus.number(),
@@ -172,7 +172,7 @@
             "more_tasks": cap.left(*used).holds(each),
         })
     });
-    let held_back = team.is_some_and(|(t, used)| !cap_of(t).allows(*used, each));
+    let held_back = team.is_some_and(|(_, used, cap)| !cap.allows(*used, each));
     let why = match (job.waiting.is_empty(), job.muster()) {
         (true, _) if job.held.is_empty() => "nothing waits",
         (true, _) => "a pause after a failure",
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -7,7 +7,7 @@
 use crate::job::*;
 use crate::machine::Machine;
 use crate::settings::Team;
-use crate::tables::{Tables, amounts_of, cap_of};
+use crate::tables::{Tables, amounts_of};
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use swiftsail_amounts::order::{Claim, share_out};
@@ -29,14 +29,14 @@
     /// All teams of the settings.
     pub fn all(tables: &Tables, teams: &[Team]) -> Vec<TeamRoom> {
         let used = tables.usage(teams);
-        let room = |(team, used): (&Team, Amounts)| TeamRoom {
-            cap: cap_of(team),
+        let room = |((n, team), used): ((usize, &Team), Amounts)| TeamRoom {
+            cap: tables.cap(n, team),
             guarantee: Amounts::limit(team.cpus, team.gpus),
             used,
             endless: Amounts::default(),
             leaving: Amounts::default(),
         };
-        let mut all: Vec<TeamRoom> = teams.iter().zip(used).map(room).collect();
+        let mut all: Vec<TeamRoom> = teams.iter().enumerate().zip(used).map(room).collect();
         for job in tables.jobs.values() {
             let Some(n) = teams.iter().position(|t| t.name == job.spec.team) else { continue };
             let held = job.attempts.values().filter(|a| a.occupies());
@@ -91,7 +91,8 @@
     /// What each team's limit leaves.
     pub fn of(tables: &Tables, teams: &[Team]) -> Allowance {
         let used = tables.usage(teams);
-        Allowance { left: teams.iter().zip(used).map(|(t, used)| cap_of(t).left(used)).collect() }
+        let left = |((n, team), used): ((usize, &Team), Amounts)| tables.cap(n, team).left(used);
+        Allowance { left: teams.iter().enumerate().zip(used).map(left).collect() }
     }
 
     /// How many more tasks of a job its team may use, of `number` that fit somewhere and `want` that wait.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -13,7 +13,7 @@
 pub use lines::{Line, Lines, Slot};
 pub use rentals::{Market, Rentals, Wish};
 pub use reports::Source;
-pub use rooms::{Guard, Refusal, amounts_of, cap_of, usable};
+pub use rooms::{Guard, Refusal, amounts_of, usable};
 pub use sheets::{Ledger, Passage, Sheet, SheetRecord, entry_bytes};
 
 use crate::Time;
@@ -23,6 +23,7 @@
 use crate::machine::{Machine, Standing};
 use crate::settings::{Platform, Workers};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use swiftsail_amounts::Amounts;
 use swiftsail_membership::{Detector, Seen, State};
 use swiftsail_wire::cloud::{ListedState, Listing};
 use swiftsail_wire::state::{Item, Page};
@@ -65,6 +66,11 @@
     pub ledger: Ledger,
     /// Keys of bindings whose job is over, to be removed.
     pub left_over: Vec<String>,
+    /// What may be used of each team's limit, where limits are held in the state service; none: what the
+    /// settings say.
+    pub caps: Option<Vec<Amounts>>,
+    /// When work was last stopped for a lowered limit.
+    pub shrunk_at: Time,
     /// What happened, for report hooks.
     pub happenings: Happenings,
     /// Machines that other controllers may answer for, and to which there is something to say now.
@@ -109,6 +115,8 @@
             nonce: 0,
             ledger: Ledger::default(),
             left_over: Vec::new(),
+            caps: None,
+            shrunk_at: 0,
             happenings: Happenings::default(),
             look: BTreeSet::new(),
             ended: BTreeSet::new(),
--- a/crates/core/src/tables/rooms.rs
+++ b/crates/core/src/tables/rooms.rs
@@ -31,6 +31,13 @@
         }
         usage
     }
+
+    /// What a team may use: by the settings, and by what the leader holds of its limit.
+    pub fn cap(&self, number: usize, team: &Team) -> Cap {
+        let cap = Cap::of_settings(team.cpus_max, team.gpus_max);
+        let held = self.caps.as_ref().map(|caps| caps.get(number).copied().unwrap_or_default());
+        held.map_or(cap, |held| cap.at_most(held))
+    }
 }
 
 /// What one task takes of its team's limit.
@@ -38,11 +45,6 @@
     Amounts::need(spec.cpus, spec.gpus)
 }
 
-/// A team's limit.
-pub fn cap_of(team: &Team) -> Cap {
-    Cap::of_settings(team.cpus_max, team.gpus_max)
-}
-
 /// Room left on a machine, and whether replicas are on it, counted from the tables.
 fn free_room(jobs: &BTreeMap<JobId, Job>, machine: &Machine, kind: &MachineType) -> (Room, bool) {
     let (mut room, mut anchored) = (kind.room(), false);
@@ -95,12 +97,14 @@
     teams: &'a [Team],
     types: &'a [MachineType],
     usage: Vec<Amounts>,
+    caps: Vec<Cap>,
 }
 
 impl<'a> Guard<'a> {
     /// Counts what teams use now.
     pub fn new(tables: &Tables, teams: &'a [Team], types: &'a [MachineType]) -> Guard<'a> {
-        Guard { teams, types, usage: tables.usage(teams) }
+        let caps = teams.iter().enumerate().map(|(n, team)| tables.cap(n, team)).collect();
+        Guard { teams, types, usage: tables.usage(teams), caps }
     }
 
     /// Whether the rules let a job's next waiting task go to a machine. A `gang` is bound whole, even
@@ -146,7 +150,7 @@
         let Some(team) = self.teams.iter().position(|t| t.name == spec.team) else {
             return Err(Refusal::Limit);
         };
-        if !cap_of(&self.teams[team]).allows(self.usage[team], amounts_of(spec)) {
+        if !self.caps[team].allows(self.usage[team], amounts_of(spec)) {
             return Err(Refusal::Limit);
         }
         if !gang && tables.ledger.room() == 0 {
--- a/crates/policy/src/operator.rs
+++ b/crates/policy/src/operator.rs
@@ -63,6 +63,15 @@
     pub enabled: bool,
 }
 
+/// The `[amounts]` table.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Amounts {
+    /// Whether limits are held in the state service, so that the lowest of all controllers' settings counts.
+    #[serde(default)]
+    pub durable: bool,
+}
+
 /// A checked operators' file.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -73,6 +82,9 @@
     /// Plug-ins.
     #[serde(default)]
     pub plugins: Plugins,
+    /// Teams' limits.
+    #[serde(default)]
+    pub amounts: Amounts,
     /// Expressions, by the name of what they set.
     #[serde(default)]
     pub policy: BTreeMap<String, Setting>,
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -164,6 +164,8 @@
     pub refused: u64,
     /// Memory that every node that starts is told it has, MB: with less, workers are shared sooner.
     pub memory_mb: f64,
+    /// The limit of team red in each controller's settings, from its next start on.
+    pub red_most: [f64; NODES],
     /// The operators' file of every node that starts.
     pub operator: Operator,
     /// Answers to operators, with the numbers of their requests.
@@ -209,6 +211,7 @@
             processors: Default::default(),
             refused: 0,
             memory_mb: 40.0,
+            red_most: [40.0; NODES],
             operator: Operator::default(),
             answers: BTreeMap::new(),
             broken: Vec::new(),
@@ -440,6 +443,7 @@
                 let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
                 let mut settings = Settings::clone(&settings(n));
                 settings.settings.machine_limits.mem_mb = self.memory_mb;
+                settings.settings.teams[0].cpus_max = self.red_most[n];
                 settings.settings.machine_limits.cores = self.cores.unwrap_or(1.0);
                 self.processors[n] = Processor::default();
                 let settings = Arc::new(settings);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -4,9 +4,11 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use swiftsail_amounts::order::{Claim, share_out};
 use swiftsail_amounts::{Amount, Amounts, Cap};
+use swiftsail_core::accounts;
 use swiftsail_core::job::Stage;
 use swiftsail_core::node::{AdminAsk, Node};
-use swiftsail_standin::world::{Weather, World, job};
+use swiftsail_policy::operator::Operator;
+use swiftsail_standin::world::{Weather, World, job, mixed_load};
 
 fn runner() -> TestRunner {
     let config = Config { cases: 256, failure_persistence: None, ..Config::default() };
@@ -214,3 +216,58 @@
         assert!(bytes.expect("JSON").len() <= 8 * 1024);
     }
 }
+
+fn durable(seed: u64, weather: Weather, calm_ms: u64) -> World {
+    let mut world = World::sized(seed, weather, calm_ms, 20);
+    world.operator = Operator::parse("test", "[amounts]\ndurable = true\n").expect("it is sound");
+    world
+}
+
+/// With limits held in the state service, rough days break no rule either, and everything ends.
+#[test]
+fn rough_days_with_durable_limits_break_no_rule() {
+    for seed in 0..6 {
+        let rough = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
+        let mut world = durable(seed, rough, 90_000);
+        mixed_load(&mut world, 6);
+        world.run(300_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        for job in world.jobs.iter().filter(|j| j.text("shape") != "service") {
+            assert!(job.over(), "seed {seed}: {}", world.held(&job.id));
+        }
+        let listed = world.store.list(accounts::PREFIX, None, 1_000);
+        let page = accounts::page(0, &listed);
+        assert!(page.conserved() && page.holdings.len() == 4, "{page:?}");
+    }
+}
+
+/// A rolling restart with a lower limit: the lower counts from the first controller that names it on, whoever
+/// leads, and work that is over it is stopped; it rises again when the last names the higher.
+#[test]
+fn the_lowest_limit_of_all_controllers_counts() {
+    let mut world = durable(7, CALM, 1_000);
+    let mut long = job("wk-a1", "array", "red", 90, 2.0, 900.0);
+    long["due_s"] = serde_json::Value::Null;
+    world.submit(500, None, long);
+    world.run(40_000);
+    assert_eq!(red_use(&world, |_| true), 40.0);
+    let follower = |world: &World| {
+        (0..3).find(|n| world.nodes[*n].as_ref().is_some_and(|n| !n.leads())).expect("one follows")
+    };
+    let (n, now) = (follower(&world), 40_000);
+    world.red_most[n] = 24.0;
+    world.crash(now, n);
+    world.run(now + 20_000);
+    assert_eq!(red_use(&world, |_| true), 24.0, "the leader's own settings still say 40");
+    // The leader ends, and another that says 40 leads.
+    let leader =
+        (0..3).find(|n| world.nodes[*n].as_ref().is_some_and(Node::leads)).expect("one leads");
+    world.crash(60_000, leader);
+    world.run(90_000);
+    assert_eq!(red_use(&world, |_| true), 24.0);
+    world.red_most[n] = 40.0;
+    world.crash(90_000, n);
+    world.run(120_000);
+    assert_eq!(red_use(&world, |_| true), 40.0);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
