--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -215,8 +215,11 @@
 pub const NO_CAPACITY_MS: u64 = 8_000;
 /// Longest such pause, ms.
 pub const NO_CAPACITY_MOST_MS: u64 = 40_000;
-/// What a zone that holds all machines of a type adds to the cost of one more, as a share of it: zones cost
-/// the same, and what is in several is not lost with one. A dearer type is not taken for it.
+/// Part of the machines of a type that one zone may hold before another is preferred. Spread evenly over three,
+/// gangs that need two machines in one zone found one here and one there.
+pub const ZONE_PART: f64 = 0.5;
+/// What a zone adds to the cost of a machine, for the part that it holds beyond that: zones cost the same, and
+/// a dearer type is not taken for it.
 pub const ZONE_COST: f64 = 0.02;
 /// The same where most machines are silent: what is rented there may not be reached, but nothing else may do.
 pub const SILENT_ZONE_COST: f64 = 10.0;
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -43,7 +43,8 @@
     }
 
     /// What a zone adds to the cost of a machine, as a share of it. Zones cost the same, and the first was
-    /// always taken: all gangs of a cluster stood in the zone that was cut off. Where most machines are silent
+    /// always taken: all gangs of a cluster stood in the zone that was cut off. Beyond half of the machines
+    /// of a type it now costs a little more. Where most machines are silent
     /// what is rented may not be reached.
     fn zone_cost(&mut self, kind: usize, zone: usize) -> f64 {
         if self.market.zones.is_none() {
@@ -60,7 +61,8 @@
             }
         }
         let silent = if zones.silent.contains(&zone) { SILENT_ZONE_COST } else { 0.0 };
-        ZONE_COST * f64::from(here) / f64::from(all) + silent
+        let beyond = f64::from(here) / f64::from(all) - ZONE_PART;
+        ZONE_COST * beyond.max(0.0) + silent
     }
 
     fn count_zones(&mut self) -> Zones {
