--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -215,9 +215,9 @@
 fn overload_with_crashes_breaks_no_rule_and_is_left() {
     let rough = Weather { loss: 0.02, late: 0.005, crashes: 3, outages: 1 };
     let mut pressed = 0;
-    for seed in 0..3 {
+    for seed in 0..6 {
         let mut world = World::sized(seed, rough, 60_000, 20);
-        world.cores = Some(0.0018);
+        world.cores = Some(0.0017);
         world.memory_mb = 3.0;
         mixed_load(&mut world, 3);
         crowd(&mut world, 4, 300);
