--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -221,10 +221,13 @@
             }
             let found = found.get_or_insert_with(|| stoppable(self.tables, self.view, team));
             let has = |v: &Stoppable| v.machine.has_image(&by.spec.image);
-            found.sort_by_cached_key(|v| Reverse((!has(v), v.lost_ms, v.job.id.clone(), v.task)));
+            let lower = |v: &Stoppable| v.job.spec.priority < by.spec.priority;
+            found.sort_by_cached_key(|v| {
+                Reverse((!lower(v), !has(v), v.lost_ms, v.job.id.clone(), v.task))
+            });
             let mut victims = Vec::new();
             while !enough(lacks)
-                && let Some(v) = found.pop_if(|v| v.job.spec.priority < by.spec.priority)
+                && let Some(v) = found.pop_if(|v| lower(v))
             {
                 lacks -= amounts_of(&v.job.spec);
                 victims.push((v.job.id.clone(), v.task));
