Ledger: what is over leaves it at once, new bindings share few sheets, chunks take over only what is beyond a thousand

New bindings also went to the first sheet with a gap, so each write carried seven sheets for a few bindings and left chunks, which come after, no changes a second: 5,000 exits waited for their commit and were told with every report.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -156,6 +156,12 @@
 pub const SHEET_BYTES: usize = 8 * 1024;
 /// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
 pub const LEDGER_MOST: usize = 4_000;
+/// Bindings that stay on the sheets until their tasks end; the oldest beyond are taken over by chunks: some
+/// eleven sheets, which a new leader reads at once.
+pub const LEDGER_KEPT: usize = 1_000;
+/// Exits of a job that wait for their commit from which on its chunks are written with users' work and not
+/// after it.
+pub const FOLD_PRESSING: usize = 32;
 /// Sheets read by a new leader at most.
 pub const SHEETS_MOST: usize = 1_000;
 /// Seconds the user is asked to wait before trying again.
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -371,7 +371,6 @@
         }
         self.waiting.remove(&bound.task);
         self.attempts.insert(bound.task, Attempt::found(bound, now));
-        self.touch(bound.task, now);
         true
     }
 
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -33,6 +33,7 @@
     /// at a time, so that each holds all that is known when it leaves.
     pub fn flush_all(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
+        self.relieve_ledger(now);
         let idle = self.jobs.iter().filter(|(_, j)| j.flight.is_none());
         let mut ends = Vec::new();
         let mut due: Vec<(Time, JobId)> = Vec::new();
@@ -55,6 +56,16 @@
         }
     }
 
+    /// Chunks take over the oldest bindings of a ledger that holds many. Below that a binding stays on its
+    /// sheet until its task ends: a job of one short task then costs no chunk at all.
+    fn relieve_ledger(&mut self, now: Time) {
+        for (id, task) in self.ledger.beyond(LEDGER_KEPT) {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.touch(task, now);
+            }
+        }
+    }
+
     /// Ends a job as soon as nothing of it is left to do.
     pub fn end_if_over(&mut self, id: &JobId, ctx: &mut Ctx) {
         if self.jobs.get(id).is_some_and(|j| j.flight.is_none() && closing(j).is_some()) {
@@ -102,7 +113,11 @@
             }
             job.advance(JobState::Closing, now);
         } else {
-            urgency = if ending.is_some() { Urgency::Work } else { Urgency::Tidy };
+            // What has exited is told with every report of its machine until its end is committed, and a
+            // full ledger stops all binding: many of either wait for nobody.
+            let ended = job.attempts.values().filter(|a| !a.occupies()).count();
+            let pressing = ended >= FOLD_PRESSING || self.ledger.room() < LEDGER_MOST / 2;
+            urgency = if ending.is_some() || pressing { Urgency::Work } else { Urgency::Tidy };
             let mut bytes = 512;
             let mut chunks: Vec<(Time, u32)> = job.dirty.iter().map(|(c, at)| (*at, *c)).collect();
             chunks.sort();
@@ -246,6 +261,7 @@
             if let Some(attempt) = job.attempts.remove(&task) {
                 job.done.insert(task);
                 job.failures.remove(&task);
+                self.ledger.forget(id, task, Some(attempt.launch));
                 if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                     machine.let_go(id, task, now);
                 }
--- a/crates/core/src/node/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -11,7 +11,7 @@
 use crate::constants::*;
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
-use crate::tables::{Passage, Sheet, SheetRecord, Tables, entry_bytes};
+use crate::tables::{Passage, Sheet, SheetRecord, Tables};
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use swiftsail_wire::state::{Commit, Page, When};
@@ -37,9 +37,7 @@
                 for bound in bound {
                     if job.restore_later(bound, now) {
                         self.ledger.forget(&id, bound.task, None);
-                        let sheet = &mut self.ledger.sheets[number];
-                        sheet.entries.insert((id.clone(), bound.task), bound.launch);
-                        sheet.bytes += entry_bytes(&id);
+                        self.ledger.put(number, &id, bound.task, bound.launch);
                     }
                 }
             }
@@ -76,24 +74,22 @@
         // Four times as many conditions as changes (protocol).
         let conditions = (state.txn_ops * 4).saturating_sub(1 + most);
         let mut named: BTreeSet<JobId> = BTreeSet::new();
+        let mut over: Vec<(JobId, u32, u64)> = Vec::new();
         for n in dirty.into_iter().take(most) {
             let sheet = &mut self.ledger.sheets[n];
             sheet.dirty = false;
             let mut record = SheetRecord { nonce: self.nonce, bound: BTreeMap::new() };
-            let mut bytes = 0;
-            let (jobs, mut later) = (&self.jobs, false);
-            sheet.entries.retain(|(id, task), launch| {
-                let job = jobs.get(id);
+            for ((id, task), launch) in &sheet.entries {
+                let job = self.jobs.get(id);
                 let attempt = job.and_then(|j| j.attempts.get(task));
-                // What was released or is over leaves the sheet with this write.
                 let Some(a) = attempt.filter(|a| a.launch == *launch && a.occupies()) else {
-                    return false;
+                    over.push((id.clone(), *task, *launch));
+                    continue;
                 };
-                bytes += entry_bytes(id);
                 if a.stage() == Stage::Committing {
                     if !named.contains(id) && named.len() >= conditions {
-                        later = true;
-                        return true;
+                        sheet.dirty = true;
+                        continue;
                     }
                     named.insert(id.clone());
                     passage.bound.push((id.clone(), *task, *launch));
@@ -104,15 +100,15 @@
                     machine: a.machine.clone(),
                     watch: a.watch,
                 });
-                true
-            });
-            sheet.bytes = bytes;
-            sheet.dirty |= later;
+            }
             let key = keys::sheet(n);
             commit.when.push(When { key: key.clone(), stamp: sheet.stamp });
             commit.apply.push(super::chunks::put(key, &record));
             passage.sheets.push(n);
         }
+        for (id, task, launch) in over {
+            self.ledger.forget(&id, task, Some(launch));
+        }
         for id in named {
             let stamp = self.jobs.get(&id).map_or(0, |j| j.stamp);
             commit.when.push(When { key: keys::job(&id), stamp });
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -247,6 +247,7 @@
         if let Some(attempt) = job.release(task, now)
             && let Some(machine) = self.machines.get_mut(&attempt.machine)
         {
+            self.ledger.forget(id, task, Some(attempt.launch));
             machine.let_go(id, task, now);
         }
         self.stir = true;
@@ -338,7 +339,6 @@
         let job = self.jobs.get_mut(id)?;
         let task = job.waiting.pop_first()?;
         job.attempts.insert(task, Attempt::new(launch, machine_id.clone(), machine.latest.0, now));
-        job.touch(task, now);
         job.left.clear();
         self.ledger.add(id, task, launch, value_bytes);
         machine.hold(id, task, launch);
@@ -380,6 +380,7 @@
     pub fn close(&mut self, id: &JobId, now: Time) -> Option<Job> {
         let job = self.jobs.remove(id)?;
         for (task, attempt) in &job.attempts {
+            self.ledger.forget(id, *task, Some(attempt.launch));
             if let Some(machine) = self.machines.get_mut(&attempt.machine) {
                 machine.let_go(id, *task, now);
             }
--- a/crates/core/src/tables/sheets.rs
+++ b/crates/core/src/tables/sheets.rs
@@ -5,7 +5,7 @@
 use crate::constants::*;
 use crate::job::*;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What the store holds of a sheet.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -44,26 +44,37 @@
     pub(crate) sheets: Vec<Sheet>,
     pub(crate) passage: Option<Passage>,
     pub(crate) written_at: Time,
+    /// The sheet of each binding.
+    places: HashMap<(JobId, u32), usize>,
+    /// Bindings by launch: the oldest come first.
+    ages: BTreeSet<(u64, JobId, u32)>,
 }
 
 impl Ledger {
-    /// Notes a new binding, to be written soon.
+    /// Notes a new binding, to be written soon: on a sheet that is to be written anyway, else on the one
+    /// with most room. What is full of old bindings is left alone, since a sheet is written whole.
     pub fn add(&mut self, job: &JobId, task: u32, launch: u64, value_bytes: usize) {
         let size = entry_bytes(job);
         let most = value_bytes.min(SHEET_BYTES);
-        let room = |s: &Sheet| s.bytes + size <= most;
-        let index = match self.sheets.iter().position(room) {
-            Some(n) => n,
-            None => {
-                self.sheets.push(Sheet::default());
-                self.sheets.len() - 1
-            }
-        };
         self.forget(job, task, None);
+        let roomy = |(_, s): &(usize, &Sheet)| s.bytes + size <= most;
+        let with_room = self.sheets.iter().enumerate().filter(roomy);
+        let best = with_room.min_by_key(|(_, s)| (!s.dirty, s.bytes)).map(|(n, _)| n);
+        let index = best.unwrap_or_else(|| {
+            self.sheets.push(Sheet::default());
+            self.sheets.len() - 1
+        });
+        self.put(index, job, task, launch);
+        self.sheets[index].dirty = true;
+    }
+
+    /// A binding is on a sheet.
+    pub(crate) fn put(&mut self, index: usize, job: &JobId, task: u32, launch: u64) {
         let sheet = &mut self.sheets[index];
         sheet.entries.insert((job.clone(), task), launch);
-        sheet.bytes += size;
-        sheet.dirty = true;
+        sheet.bytes += entry_bytes(job);
+        self.places.insert((job.clone(), task), index);
+        self.ages.insert((launch, job.clone(), task));
     }
 
     /// Bindings that the ledger may still take: what is beyond waits for chunks to take some over.
@@ -73,24 +84,34 @@
 
     /// Bindings on the sheets.
     pub fn len(&self) -> usize {
-        self.sheets.iter().map(|s| s.entries.len()).sum()
+        self.places.len()
     }
 
     /// Whether no binding is on a sheet.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.places.is_empty()
     }
 
-    /// A binding leaves the sheets: a chunk that holds it is committed, or a later one of the same
-    /// task takes its place. `launch`: only if it is that one.
+    /// The oldest bindings beyond so many: chunks are to take them over.
+    pub fn beyond(&self, most: usize) -> impl Iterator<Item = (&JobId, u32)> {
+        let over = self.len().saturating_sub(most);
+        self.ages.iter().take(over).map(|(_, job, task)| (job, *task))
+    }
+
+    /// A binding leaves the sheets: its task is done or released, a chunk that holds it is committed, or
+    /// a later one of the same task takes its place. `launch`: only if it is that one. What is over and
+    /// stayed here until its sheet was written again once filled the ledger for good: nothing more
+    /// could be bound, so no sheet was ever written again.
     pub fn forget(&mut self, job: &JobId, task: u32, launch: Option<u64>) {
         let key = (job.clone(), task);
-        for sheet in &mut self.sheets {
-            let held = sheet.entries.get(&key);
-            if held.is_some_and(|found| launch.is_none_or(|l| l == *found)) {
-                sheet.entries.remove(&key);
-                sheet.bytes = sheet.bytes.saturating_sub(entry_bytes(job));
-            }
+        let Some(&index) = self.places.get(&key) else { return };
+        let sheet = &mut self.sheets[index];
+        let Some(&held) = sheet.entries.get(&key) else { return };
+        if launch.is_none_or(|l| l == held) {
+            sheet.entries.remove(&key);
+            sheet.bytes = sheet.bytes.saturating_sub(entry_bytes(job));
+            self.ages.remove(&(held, key.0.clone(), task));
+            self.places.remove(&key);
         }
     }
 }
