Bindings by their real size, and chunks that leave to the ledger what it holds

A binding takes some 40 bytes and was counted as 107, so a sheet held 75 of 200; a chunk had to hold all its tasks' bindings at once, so at 8 KiB it had 88 tasks, and an array of 25,000 tasks of four seconds needed three times the changes a second that there are: 9,000 exits waited for their commit.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -123,9 +123,16 @@
 
 // ---- jobs --------------------------------------------------------------------------------------
 
-/// Bytes that one binding may take in a chunk, counted in JSON form: two numbers of up to 20
-/// digits, a machine name and a session.
-pub const BINDING_BYTES: usize = 90;
+/// Bytes of a binding in JSON form beside its numbers and its machine's name: brackets, quotes, commas.
+pub const BINDING_BYTES: usize = 8;
+/// Bytes of a chunk beside its ranges and bindings, at most: two numbers of 20 digits, and names.
+pub const CHUNK_BYTES: usize = 96;
+/// Bytes of a range of tasks done, at most: two numbers of 6 digits, brackets, commas.
+pub const RANGE_BYTES: usize = 16;
+/// Bytes of a sheet beside its bindings, and of a job on it beside its name.
+pub const SHEET_HEAD_BYTES: usize = 64;
+/// See `SHEET_HEAD_BYTES`.
+pub const SHEET_JOB_BYTES: usize = 6;
 /// Most tasks in one chunk of bindings, whatever the value size allows.
 pub const CHUNK_TASKS_MOST: u32 = 256;
 /// Launch numbers of one term start at its token shifted left by this many bits. A term thus
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -318,26 +318,42 @@
         self.dirty.entry(self.chunk_of(task)).or_insert(now);
     }
 
-    /// The record of a chunk as it should be.
-    pub fn chunk(&self, chunk: u32, nonce: u64, upto: u64) -> Chunk {
+    /// The record of a chunk as it should be, in at most so many bytes. `elsewhere` tells of which tasks a
+    /// sheet of the ledger holds the binding: those are left there, or taken over as far as they fit.
+    pub fn chunk(
+        &self,
+        chunk: u32,
+        (nonce, last_launch): (u64, u64),
+        bytes: usize,
+        take_over: bool,
+        elsewhere: impl Fn(u32) -> bool,
+    ) -> Chunk {
         let from = chunk * self.chunk_tasks;
         let to = (from + self.chunk_tasks).min(self.spec.tasks);
         let exited = self.attempts.range(from..to).filter(|(_, a)| is_done(a)).map(|(t, _)| *t);
         let done: BTreeSet<u32> = self.done.range(from..to).copied().chain(exited).collect();
-        let bound = self.attempts.range(from..to).filter(|(_, a)| a.occupies());
-        Chunk {
-            nonce,
-            upto,
-            done: record::ranges(&done),
-            bound: bound
-                .map(|(task, a)| Bound {
-                    task: *task,
-                    launch: a.launch,
-                    machine: a.machine.clone(),
-                    watch: a.watch,
-                })
-                .collect(),
+        let mut record =
+            Chunk { nonce, upto: last_launch, done: record::ranges(&done), bound: Vec::new() };
+        let mut left = bytes.saturating_sub(CHUNK_BYTES + record.done.len() * RANGE_BYTES);
+        let held = self.attempts.range(from..to).filter(|(_, a)| a.occupies());
+        let (may, must): (Vec<_>, Vec<_>) = held.partition(|(task, _)| elsewhere(**task));
+        for (n, (task, a)) in must.iter().chain(&may).enumerate() {
+            let bound = Bound {
+                task: **task,
+                launch: a.launch,
+                machine: a.machine.clone(),
+                watch: a.watch,
+            };
+            let size = bound.bytes();
+            if size <= left && (take_over || n < must.len()) {
+                left -= size;
+                record.bound.push(bound);
+            } else {
+                // Whoever reads this finds later bindings on the sheets alone.
+                record.upto = record.upto.min(a.launch.saturating_sub(1));
+            }
         }
+        record
     }
 
     /// Takes over a chunk read from the store.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -44,10 +44,13 @@
     format!("{}{id}/{chunk:05}", keys::BINDINGS)
 }
 
-/// Tasks in a chunk, so that its record fits in a value whatever it holds.
+/// Tasks in a chunk, so that what is done of them fits in a value however it is scattered. Bindings that
+/// find no room beside it stay in the ledger.
 pub fn chunk_size(state: &State) -> u32 {
-    let bytes = (state.value_kb * 1024.0 - 256.0).max(0.0);
-    ((bytes / BINDING_BYTES as f64) as u32).clamp(1, CHUNK_TASKS_MOST)
+    let bytes = (state.value_kb * 1024.0) as usize;
+    let ranges = bytes.saturating_sub(CHUNK_BYTES) / RANGE_BYTES;
+    // Scattered at worst, every second task is done.
+    (ranges as u32).saturating_mul(2).clamp(1, CHUNK_TASKS_MOST)
 }
 
 /// A live job.
@@ -109,6 +112,15 @@
     pub watch: u64,
 }
 
+impl Bound {
+    /// Its size in JSON form, with the comma behind it.
+    pub fn bytes(&self) -> usize {
+        let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let numbers = digits(u64::from(self.task)) + digits(self.launch) + digits(self.watch);
+        numbers + self.machine.len() + BINDING_BYTES
+    }
+}
+
 impl From<(u32, u64, String, u64)> for Bound {
     fn from((task, launch, machine, watch): (u32, u64, String, u64)) -> Bound {
         Bound { task, launch, machine: machine.into(), watch }
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -118,6 +118,8 @@
             let ended = job.attempts.values().filter(|a| !a.occupies()).count();
             let pressing = ended >= FOLD_PRESSING || self.ledger.room() < LEDGER_MOST / 2;
             urgency = if ending.is_some() || pressing { Urgency::Work } else { Urgency::Tidy };
+            let value = (ctx.settings.settings.state.value_kb * 1024.0) as usize;
+            let take_over = self.ledger.len() > LEDGER_KEPT;
             let mut bytes = 512;
             let mut chunks: Vec<(Time, u32)> = job.dirty.iter().map(|(c, at)| (*at, *c)).collect();
             chunks.sort();
@@ -125,8 +127,10 @@
                 return;
             }
             for (_, chunk) in chunks.into_iter().take(ops) {
-                let record = job.chunk(chunk, nonce, upto);
-                bytes += 64 + record.bound.len() * BINDING_BYTES + record.done.len() * 14;
+                let elsewhere = |task: u32| self.ledger.holds(id, task);
+                let record = job.chunk(chunk, (nonce, upto), value, take_over, elsewhere);
+                bytes += CHUNK_BYTES + record.done.len() * RANGE_BYTES;
+                bytes += record.bound.iter().map(Bound::bytes).sum::<usize>();
                 if bytes > TXN_BYTES && !flight.chunks.is_empty() {
                     break;
                 }
--- a/crates/core/src/node/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -37,7 +37,7 @@
                 for bound in bound {
                     if job.restore_later(bound, now) {
                         self.ledger.forget(&id, bound.task, None);
-                        self.ledger.put(number, &id, bound.task, bound.launch);
+                        self.ledger.put(number, &id, bound);
                     }
                 }
             }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -14,7 +14,7 @@
 pub use rentals::{Market, Rentals, Wish};
 pub use reports::Source;
 pub use rooms::{Guard, Refusal, amounts_of, usable};
-pub use sheets::{Ledger, Passage, Sheet, SheetRecord, entry_bytes};
+pub use sheets::{Ledger, Passage, Sheet, SheetRecord};
 
 use crate::Time;
 use crate::chance::Histories;
@@ -340,7 +340,8 @@
         let task = job.waiting.pop_first()?;
         job.attempts.insert(task, Attempt::new(launch, machine_id.clone(), machine.latest.0, now));
         job.left.clear();
-        self.ledger.add(id, task, launch, value_bytes);
+        let bound = Bound { task, launch, machine: machine_id.clone(), watch: machine.latest.0 };
+        self.ledger.add(id, &bound, value_bytes);
         machine.hold(id, task, launch);
         if machine.via.is_some() {
             self.look.insert(machine.id.clone());
--- a/crates/core/src/tables/sheets.rs
+++ b/crates/core/src/tables/sheets.rs
@@ -27,6 +27,24 @@
     pub(crate) dirty: bool,
 }
 
+impl Sheet {
+    /// What a binding adds to the sheet, bytes: the first of a job brings the job's name.
+    fn size_of(&self, job: &JobId, bound: &Bound) -> usize {
+        bound.bytes() + if self.names(job) { 0 } else { name_bytes(job) }
+    }
+
+    /// Whether a binding of a job is on it.
+    fn names(&self, job: &JobId) -> bool {
+        let next = self.entries.range((job.clone(), 0)..).next();
+        next.is_some_and(|((id, _), _)| id == job)
+    }
+}
+
+/// What a job takes on a sheet beside its bindings, bytes.
+fn name_bytes(job: &JobId) -> usize {
+    job.len() + SHEET_JOB_BYTES
+}
+
 /// A transaction of the ledger on its way.
 #[derive(Debug, Clone)]
 pub struct Passage {
@@ -44,8 +62,8 @@
     pub(crate) sheets: Vec<Sheet>,
     pub(crate) passage: Option<Passage>,
     pub(crate) written_at: Time,
-    /// The sheet of each binding.
-    places: HashMap<(JobId, u32), usize>,
+    /// The sheet of each binding, and its size there.
+    places: HashMap<(JobId, u32), (usize, usize)>,
     /// Bindings by launch: the oldest come first.
     ages: BTreeSet<(u64, JobId, u32)>,
 }
@@ -53,28 +71,32 @@
 impl Ledger {
     /// Notes a new binding, to be written soon: on a sheet that is to be written anyway, else on the one
     /// with most room. What is full of old bindings is left alone, since a sheet is written whole.
-    pub fn add(&mut self, job: &JobId, task: u32, launch: u64, value_bytes: usize) {
-        let size = entry_bytes(job);
-        let most = value_bytes.min(SHEET_BYTES);
-        self.forget(job, task, None);
-        let roomy = |(_, s): &(usize, &Sheet)| s.bytes + size <= most;
+    pub fn add(&mut self, job: &JobId, bound: &Bound, value_bytes: usize) {
+        let most = value_bytes.min(SHEET_BYTES).saturating_sub(SHEET_HEAD_BYTES);
+        self.forget(job, bound.task, None);
+        let roomy = |(_, s): &(usize, &Sheet)| s.bytes + s.size_of(job, bound) <= most;
         let with_room = self.sheets.iter().enumerate().filter(roomy);
         let best = with_room.min_by_key(|(_, s)| (!s.dirty, s.bytes)).map(|(n, _)| n);
         let index = best.unwrap_or_else(|| {
             self.sheets.push(Sheet::default());
             self.sheets.len() - 1
         });
-        self.put(index, job, task, launch);
+        self.put(index, job, bound);
         self.sheets[index].dirty = true;
     }
 
     /// A binding is on a sheet.
-    pub(crate) fn put(&mut self, index: usize, job: &JobId, task: u32, launch: u64) {
+    pub(crate) fn put(&mut self, index: usize, job: &JobId, bound: &Bound) {
         let sheet = &mut self.sheets[index];
-        sheet.entries.insert((job.clone(), task), launch);
-        sheet.bytes += entry_bytes(job);
-        self.places.insert((job.clone(), task), index);
-        self.ages.insert((launch, job.clone(), task));
+        sheet.bytes += sheet.size_of(job, bound);
+        sheet.entries.insert((job.clone(), bound.task), bound.launch);
+        self.places.insert((job.clone(), bound.task), (index, bound.bytes()));
+        self.ages.insert((bound.launch, job.clone(), bound.task));
+    }
+
+    /// Whether a sheet holds the binding of a task.
+    pub fn holds(&self, job: &JobId, task: u32) -> bool {
+        self.places.contains_key(&(job.clone(), task))
     }
 
     /// Bindings that the ledger may still take: what is beyond waits for chunks to take some over.
@@ -104,19 +126,15 @@
     /// could be bound, so no sheet was ever written again.
     pub fn forget(&mut self, job: &JobId, task: u32, launch: Option<u64>) {
         let key = (job.clone(), task);
-        let Some(&index) = self.places.get(&key) else { return };
+        let Some(&(index, size)) = self.places.get(&key) else { return };
         let sheet = &mut self.sheets[index];
         let Some(&held) = sheet.entries.get(&key) else { return };
         if launch.is_none_or(|l| l == held) {
             sheet.entries.remove(&key);
-            sheet.bytes = sheet.bytes.saturating_sub(entry_bytes(job));
+            let name = if sheet.names(job) { 0 } else { name_bytes(job) };
+            sheet.bytes = sheet.bytes.saturating_sub(size + name);
             self.ages.remove(&(held, key.0.clone(), task));
             self.places.remove(&key);
         }
     }
 }
-
-/// Bytes of a binding in JSON form, at most, with its job's name: as if it were the job's only one.
-pub fn entry_bytes(job: &JobId) -> usize {
-    job.len() + 8 + BINDING_BYTES
-}
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -103,7 +103,9 @@
             // What the store holds is enough for the next leader.
             let mut next = self::job(20);
             for chunk in 0..3 {
-                let text = serde_json::to_string(&job.chunk(chunk, 1, 0)).expect("our own record");
+                let text =
+                    serde_json::to_string(&job.chunk(chunk, (1, 0), usize::MAX, true, |_| false))
+                        .expect("our own record");
                 let record: Chunk = serde_json::from_str(&text).expect("our own record");
                 next.restore(chunk, &record, 9, 0);
             }
@@ -211,13 +213,13 @@
 /// ledger holds yet, even where a sheet still lists what a chunk has taken over.
 #[test]
 fn chunks_and_ledger_together_hold_every_binding() {
-    let steps = prop::collection::vec((0..20u32, 0..4u8, any::<bool>()), 0..80);
+    let steps = prop::collection::vec((0..20u32, 0..4u8, any::<bool>(), any::<bool>()), 0..80);
     runner()
         .run(&steps, |steps| {
             let mut job = job(20);
             let (mut launch, mut sheet): (u64, Vec<Bound>) = (0, Vec::new());
             let mut chunks: [Option<Chunk>; 3] = [None, None, None];
-            for (task, what, stale) in steps {
+            for (task, what, stale, take_over) in steps {
                 match what {
                     0 if job.waiting.remove(&task) => {
                         launch += 1;
@@ -230,9 +232,15 @@
                     2 if job.attempts.remove(&task).is_some() => drop(job.done.insert(task)),
                     3 => {
                         let chunk = job.chunk_of(task);
-                        chunks[chunk as usize] = Some(job.chunk(chunk, 1, launch));
+                        // Bindings stay on the sheets, or are taken over.
+                        let held = |t: u32| {
+                            let launch = job.attempts.get(&t).map(|a| a.launch);
+                            sheet.iter().any(|b| b.task == t && Some(b.launch) == launch)
+                        };
+                        let record = job.chunk(chunk, (1, launch), usize::MAX, take_over, held);
                         // A sheet lets go of what was taken over only when it is next written.
-                        sheet.retain(|b| stale || job.chunk_of(b.task) != chunk);
+                        sheet.retain(|b| stale || !record.bound.contains(b));
+                        chunks[chunk as usize] = Some(record);
                     }
                     _ => {}
                 }
