Polls by one read of what has changed; a job ends with one change

Every controller now keeps what the jobs' keys show, and one read of what has changed since, begun after them, answers all polls that wait. The final record takes the job's own key, and moves to its last place when the state service has nothing better to do.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -169,6 +169,19 @@
 /// Exits of a job that wait for their commit from which on its chunks are written with users' work and not
 /// after it.
 pub const FOLD_PRESSING: usize = 32;
+/// Jobs whose records are moved to their last place with one transaction: a few changes, since each takes
+/// from what a burst of users may need next.
+pub const RETIRE_AT_ONCE: usize = 2;
+/// Jobs that are over from which on their records no longer wait for idle moments: a new leader reads them.
+pub const RETIRE_SOON: usize = 1_000;
+/// Least time between two reads of what has changed, for polls, ms: a node then asks at most five a second,
+/// and a poll, for which its user gives 2 s, waits a tenth of that on average.
+pub const MIRROR_MS: u64 = 200;
+/// The same while nobody waits, ms: little has then changed when somebody does.
+pub const MIRROR_IDLE_MS: u64 = 4_000;
+/// Time without such a read after which the jobs are listed anew, ms: the service retains 10,000 changes, and
+/// tells all of them at once.
+pub const MIRROR_STALE_MS: u64 = 30_000;
 /// Sheets read by a new leader at most.
 pub const SHEETS_MOST: usize = 1_000;
 /// Seconds the user is asked to wait before trying again.
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -2,7 +2,9 @@
 
 mod record;
 
-pub use record::{Bound, Chunk, Ending, FinalRecord, JobRecord, chunk_key, chunk_size, keys};
+pub use record::{
+    Bound, Chunk, Ending, FinalRecord, JobRecord, StoredJob, chunk_key, chunk_size, keys,
+};
 
 use crate::constants::*;
 pub use swiftsail_wire::users::{Kind, Priority, Spec};
@@ -158,8 +160,8 @@
     pub bound: Vec<(u32, u64)>,
     /// Tasks done by it.
     pub done: Vec<u32>,
-    /// It closes the job.
-    pub closes: bool,
+    /// The final record, if it ends the job.
+    pub ended: Option<FinalRecord>,
 }
 
 /// A job as the leader holds it.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -98,6 +98,23 @@
     pub done: u32,
 }
 
+/// What the key of an accepted job holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoredJob {
+    /// It is not over.
+    Live(JobRecord),
+    /// It is over, and its record has not moved to its last place yet.
+    Over(FinalRecord),
+}
+
+impl StoredJob {
+    /// Reads a value; none if it is neither.
+    pub fn read(value: &serde_json::Value) -> Option<StoredJob> {
+        let live = JobRecord::deserialize(value).map(StoredJob::Live);
+        live.or_else(|_| FinalRecord::deserialize(value).map(StoredJob::Over)).ok()
+    }
+}
+
 /// One binding.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "(u32, u64, String, u64)", into = "(u32, u64, String, u64)")]
--- a/crates/core/src/node/admin.rs
+++ b/crates/core/src/node/admin.rs
@@ -4,7 +4,7 @@
 use super::plugins::problem;
 use super::{Action, Node, Purpose, Reply, RequestId};
 use crate::constants::*;
-use crate::job::{JobId, JobRecord, keys};
+use crate::job::{JobId, StoredJob, keys};
 use crate::store::{Call, Outcome, Patience, Urgency};
 use serde_json::json;
 use swiftsail_policy::plugin::{Offer, Step};
@@ -88,7 +88,7 @@
         let mut jobs = Vec::new();
         for pair in &page.pairs {
             let Some(id) = pair.key.strip_prefix(keys::JOBS) else { continue };
-            let Ok(record) = serde_json::from_value::<JobRecord>(pair.value.clone()) else {
+            let Some(StoredJob::Live(record)) = StoredJob::read(&pair.value) else {
                 continue;
             };
             let (done, running) = self.counts_of(&JobId::from(id));
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -6,6 +6,7 @@
 use crate::job::{JobId, keys};
 use crate::machine::MachineType;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
+use crate::tables::Tables;
 use std::sync::Arc;
 use swiftsail_wire::cloud::Types;
 use swiftsail_wire::state::{Change, Commit, When};
@@ -48,6 +49,12 @@
     ResolveChunk { era: u64, job: JobId, index: usize },
     /// Remove keys that nothing refers to.
     Sweep { era: u64 },
+    /// Move the records of so many jobs that are over.
+    Retire { era: u64, jobs: usize },
+    /// Read what has changed of the jobs, for polls.
+    ReadNews,
+    /// List the jobs, for polls.
+    ListMirror,
     /// Read all plug-ins.
     ReadPlugins,
     /// Watch the plug-ins.
@@ -87,7 +94,8 @@
             | ResolveLedger { era, .. }
             | ResolveJob { era, .. }
             | ResolveChunk { era, .. }
-            | Sweep { era } => Some(*era),
+            | Sweep { era }
+            | Retire { era, .. } => Some(*era),
             Amounts { era, .. } => *era,
             _ => None,
         }
@@ -114,6 +122,8 @@
                 }
             }
             Purpose::WriteTypes { .. } | Purpose::Sweep { .. } => {}
+            Purpose::Retire { jobs, .. } => self.on_retired(jobs, &end.outcome),
+            Purpose::ReadNews | Purpose::ListMirror => self.on_mirror(&end.outcome),
             ref load @ (Purpose::LoadJobs { era }
             | Purpose::LoadBindings { era }
             | Purpose::LoadSheets { era }) => self.on_load(end.outcome, era, load),
@@ -193,10 +203,52 @@
         self.store.push(Call::Commit(commit), purpose, Urgency::Tidy, Patience::Once(until));
     }
 
+    /// Moves the records of jobs that are over to their last place, a few at a time, when the state service
+    /// has nothing else to do. New leaders would else list them for ever.
+    pub(super) fn retire(&mut self) {
+        let Some(leader) = self.leader.as_mut().filter(|l| !l.moving && !l.over.is_empty()) else {
+            return;
+        };
+        let urgency = match leader.over.len() {
+            0..RETIRE_SOON => Urgency::Idle,
+            _ => Urgency::Tidy,
+        };
+        let most = (self.settings.settings.state.txn_ops / 2).clamp(1, RETIRE_AT_ONCE);
+        let mut commit = Commit {
+            when: vec![When { key: keys::LEADER.into(), stamp: leader.token }],
+            apply: Vec::new(),
+        };
+        let mut jobs = 0;
+        for (id, stamp, record) in leader.over.iter().take(most) {
+            jobs += 1;
+            commit.when.push(When { key: keys::job(id), stamp: *stamp });
+            commit.apply.push(Change::Remove { remove: keys::job(id) });
+            commit.apply.push(super::chunks::put(keys::end(id), record));
+        }
+        leader.moving = true;
+        let purpose = Purpose::Retire { era: leader.era, jobs };
+        self.store.push(Call::Commit(commit), purpose, urgency, Patience::Always);
+    }
+
+    /// Records were moved, or an earlier try without an answer had done so already: only leaders move them,
+    /// and a job that is over never changes.
+    fn on_retired(&mut self, jobs: usize, outcome: &Outcome) {
+        let Some(leader) = &mut self.leader else { return };
+        leader.moving = false;
+        leader.over.drain(..jobs.min(leader.over.len()));
+        if let Outcome::Conflict(failed) = outcome
+            && failed.iter().any(|k| k == keys::LEADER)
+        {
+            self.step_down("the store knows of another term");
+        }
+    }
+
     /// Removes records of bindings whose job is over, a few at a time.
     pub(super) fn sweep(&mut self) {
-        let Some(leader) = self.leader.as_mut().filter(|l| !l.left_over.is_empty()) else { return };
-        let most = self.settings.settings.state.txn_ops;
+        let waits = self.store.queued()[Urgency::Idle as usize] > 0;
+        let some = |l: &&mut Tables| !waits && !l.left_over.is_empty();
+        let Some(leader) = self.leader.as_mut().filter(some) else { return };
+        let most = self.settings.settings.state.txn_ops.min(2 * RETIRE_AT_ONCE);
         let left = leader.left_over.len().saturating_sub(most);
         let keys = leader.left_over.split_off(left);
         let commit = Commit {
@@ -204,6 +256,6 @@
             apply: keys.iter().map(|k| Change::Remove { remove: k.clone() }).collect(),
         };
         let purpose = Purpose::Sweep { era: leader.era };
-        self.store.push(Call::Commit(commit), purpose, Urgency::Tidy, Patience::Always);
+        self.store.push(Call::Commit(commit), purpose, Urgency::Idle, Patience::Always);
     }
 }
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -90,34 +90,24 @@
             ],
             apply: Vec::new(),
         };
-        let mut flight =
-            Flight { nonce, chunks: vec![], bound: vec![], done: vec![], closes: false };
+        let mut flight = Flight { nonce, chunks: vec![], bound: vec![], done: vec![], ended: None };
         let ops = ctx.settings.settings.state.txn_ops;
         let ending = closing(job);
         let urgency;
-        if let Some(ending) =
-            ending.filter(|_| job.chunk_stamps.len() + 2 <= ops || job.dirty.is_empty())
-        {
-            flight.closes = true;
+        if let Some(ending) = ending {
             urgency = Urgency::Work;
+            // One change: the record takes the job's own place, and moves to its last one when the
+            // state service has nothing better to do; so do the chunks go.
             let record = FinalRecord { ending, done: done_count(job) };
-            commit.apply.push(Change::Remove { remove: keys::job(id) });
-            commit.apply.push(put(keys::end(id), &record));
-            for (n, chunk) in job.chunk_stamps.keys().enumerate() {
-                let key = chunk_key(id, *chunk);
-                if n + 2 < ops {
-                    commit.apply.push(Change::Remove { remove: key });
-                } else {
-                    self.left_over.push(key);
-                }
-            }
+            commit.apply.push(put(keys::job(id), &record));
+            flight.ended = Some(record);
             job.advance(JobState::Closing, now);
         } else {
             // What has exited is told with every report of its machine until its end is committed, and a
             // full ledger stops all binding: many of either wait for nobody.
             let ended = job.attempts.values().filter(|a| !a.occupies()).count();
             let pressing = ended >= FOLD_PRESSING || self.ledger.room() < LEDGER_MOST / 2;
-            urgency = if ending.is_some() || pressing { Urgency::Work } else { Urgency::Tidy };
+            urgency = if pressing { Urgency::Work } else { Urgency::Tidy };
             let value = (ctx.settings.settings.state.value_kb * 1024.0) as usize;
             let take_over = self.ledger.len() > LEDGER_KEPT;
             let mut bytes = 512;
@@ -180,12 +170,13 @@
     pub fn on_resolve_job(&mut self, id: &JobId, outcome: &Outcome, ctx: &mut Ctx) {
         let (now, wall) = (ctx.now, ctx.wall);
         match outcome {
-            Outcome::Found(pair) => self.upsert(&keys::job(id), &pair.value, pair.stamp, now, wall),
-            Outcome::Missing { .. } => {
-                // Only the leader removes it, with the final record: our own try was applied.
-                self.settle(id, Some(0), ctx);
-                return;
-            }
+            Outcome::Found(pair) => match StoredJob::read(&pair.value) {
+                // Only the leader ends a job: our own try was applied.
+                Some(StoredJob::Over(_)) => return self.settle(id, Some(pair.stamp), ctx),
+                _ => self.upsert(&keys::job(id), &pair.value, pair.stamp, now, wall),
+            },
+            // Ended, and moved already: only a leader does either.
+            Outcome::Missing { .. } => return self.settle(id, Some(0), ctx),
             _ => {}
         }
         let flight = self.jobs.get(id).and_then(|j| j.flight.clone());
@@ -238,14 +229,17 @@
             for chunk in &flight.chunks {
                 job.dirty.entry(*chunk).or_insert(now);
             }
-            if flight.closes && job.cancelled() {
+            if flight.ended.is_some() && job.cancelled() {
                 job.advance(JobState::Cancelling, now);
             }
             return;
         };
-        if flight.closes {
+        if let Some(record) = flight.ended {
             job.advance(JobState::Closed, now);
+            self.over.push_back((id.clone(), epoch, record));
             if let Some(job) = self.close(id, now) {
+                let chunks = job.chunk_stamps.keys().map(|chunk| chunk_key(id, *chunk));
+                self.left_over.extend(chunks);
                 tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
             }
             return;
--- /dev/null
+++ b/crates/core/src/node/mirror.rs
@@ -0,0 +1,236 @@
+//! What every controller keeps of the jobs in the state service, so that polls cost it little: one read of
+//! what has changed answers all that asked before it began. A poll storm then costs the state service a
+//! few requests a second, however many ask, and submissions keep their part.
+
+use super::requests::Waiter;
+use super::{Node, Purpose, Reply};
+use crate::Time;
+use crate::constants::*;
+use crate::job::{FinalRecord, JobId, StoredJob, keys};
+use crate::store::{Call, Outcome, Patience, Urgency};
+use std::collections::HashMap;
+use swiftsail_wire::state::{Item, Page};
+
+/// How much of the jobs is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Known {
+    /// Nothing: polls read their job's own key.
+    Nothing,
+    /// They are being listed; what has changed since this revision is still to be read.
+    Listing(u64),
+    /// All of them, as they were at this revision.
+    All(u64),
+}
+
+/// A job as its key shows it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Shown {
+    /// Accepted, and not over.
+    Live,
+    /// Cancelled, and not over.
+    Cancelled,
+    /// Over.
+    Over(FinalRecord),
+}
+
+/// The jobs, and who waits for the next read.
+#[derive(Debug)]
+pub(super) struct Mirror {
+    known: Known,
+    jobs: HashMap<JobId, Shown>,
+    most: usize,
+    /// Whom the read under way serves.
+    current: Option<Vec<(JobId, Waiter)>>,
+    /// Who came later and needs a fresh one.
+    next: Vec<(JobId, Waiter)>,
+    asked_at: Time,
+    read_at: Time,
+}
+
+impl Mirror {
+    /// A mirror that holds so many jobs at most.
+    pub fn new(most: usize) -> Mirror {
+        Mirror {
+            known: Known::Nothing,
+            jobs: HashMap::new(),
+            most,
+            current: None,
+            next: Vec::new(),
+            asked_at: 0,
+            read_at: 0,
+        }
+    }
+
+    /// The one function that changes how much is known. Everything is known only from a listing on, and
+    /// a revision never goes back.
+    fn advance(&mut self, to: Known) -> bool {
+        let allowed = match (self.known, to) {
+            (_, Known::Nothing) | (Known::Nothing, Known::Listing(_)) => true,
+            (Known::Listing(from) | Known::All(from), Known::All(to)) => to >= from,
+            _ => false,
+        };
+        if allowed {
+            if to == Known::Nothing {
+                self.jobs.clear();
+            }
+            self.known = to;
+        }
+        allowed
+    }
+
+    /// Whether polls may wait for the next read.
+    pub fn serves(&self) -> bool {
+        matches!(self.known, Known::All(_))
+    }
+
+    /// Takes over a page of the listing.
+    fn list(&mut self, page: &Page) {
+        if self.known == Known::Nothing {
+            self.advance(Known::Listing(page.epoch));
+        }
+        for pair in &page.pairs {
+            self.note(&pair.key, &pair.value);
+        }
+        if self.jobs.len() > self.most {
+            self.advance(Known::Nothing);
+        } else if let Known::Listing(from) = self.known
+            && !page.has_next
+        {
+            self.advance(Known::All(from));
+        }
+    }
+
+    /// Takes over what has changed up to a revision.
+    fn take(&mut self, news: &[Item], epoch: u64) {
+        for item in news {
+            match (&item.write, &item.remove) {
+                (Some(key), _) => self.note(key, &item.value),
+                (None, Some(key)) => {
+                    self.jobs.remove(key.strip_prefix(keys::JOBS).unwrap_or(key));
+                }
+                (None, None) => {}
+            }
+        }
+        let fits = self.jobs.len() <= self.most;
+        if !fits || !self.advance(Known::All(epoch)) {
+            self.advance(Known::Nothing);
+        }
+    }
+
+    fn note(&mut self, key: &str, value: &serde_json::Value) {
+        let Some(id) = key.strip_prefix(keys::JOBS) else { return };
+        // What cannot be read is not known: its key is read whenever somebody asks.
+        let shown = match StoredJob::read(value) {
+            Some(StoredJob::Live(record)) if record.cancelled => Shown::Cancelled,
+            Some(StoredJob::Live(_)) => Shown::Live,
+            Some(StoredJob::Over(record)) => Shown::Over(record),
+            None => {
+                self.jobs.remove(id);
+                return;
+            }
+        };
+        self.jobs.insert(JobId::from(id), shown);
+    }
+}
+
+impl Node {
+    /// A poll waits for the next read of what has changed.
+    pub(super) fn ask_mirror(&mut self, id: JobId, waiter: Waiter) {
+        self.mirror.next.push((id, waiter));
+        self.tend_mirror();
+    }
+
+    /// Polls that wait for the mirror.
+    pub(super) fn mirrored(&self) -> usize {
+        self.mirror.next.len() + self.mirror.current.as_ref().map_or(0, Vec::len)
+    }
+
+    /// Reads what has changed, if somebody waits for it or it has not been read for a while; begins the
+    /// listing where nothing is known.
+    pub(super) fn tend_mirror(&mut self) {
+        let now = self.now.steady;
+        let mirror = &mut self.mirror;
+        if mirror.current.is_some() || self.store.away() {
+            return;
+        }
+        let until = Patience::Once(now + USER_STORE_TIMEOUT_MS);
+        match mirror.known {
+            // Who has been long away would be told of very much at once: the pages of a listing are bounded.
+            Known::All(_) if now >= mirror.read_at + MIRROR_STALE_MS => {
+                mirror.advance(Known::Nothing);
+                self.turn_away_from_mirror();
+            }
+            Known::All(from) => {
+                let pause = if mirror.next.is_empty() { MIRROR_IDLE_MS } else { MIRROR_MS };
+                if now < mirror.asked_at + pause {
+                    return;
+                }
+                mirror.asked_at = now;
+                mirror.current = Some(std::mem::take(&mut mirror.next));
+                let call = Call::News { prefix: keys::JOBS.into(), from };
+                self.store.push(call, Purpose::ReadNews, Urgency::Work, until);
+            }
+            Known::Nothing if now >= mirror.asked_at + MIRROR_IDLE_MS => {
+                mirror.asked_at = now;
+                self.list_for_mirror(None);
+            }
+            Known::Nothing | Known::Listing(_) => {}
+        }
+    }
+
+    fn list_for_mirror(&mut self, from: Option<String>) {
+        self.mirror.current = Some(Vec::new());
+        let call = Call::List { prefix: keys::JOBS.into(), from };
+        let until = self.now.steady + STORE_TIMEOUT_MS;
+        self.store.push(call, Purpose::ListMirror, Urgency::Work, Patience::Once(until));
+    }
+
+    /// What came of a read for the mirror.
+    pub(super) fn on_mirror(&mut self, outcome: &Outcome) {
+        let waiting = self.mirror.current.take().unwrap_or_default();
+        match outcome {
+            Outcome::Page(page) => {
+                self.mirror.read_at = self.now.steady;
+                self.mirror.list(page);
+                let more = page.pairs.last().filter(|_| page.has_next).map(|p| p.key.clone());
+                if let (Known::Listing(_), Some(from)) = (self.mirror.known, more) {
+                    self.list_for_mirror(Some(from));
+                }
+            }
+            Outcome::News(news) => {
+                self.mirror.read_at = self.now.steady;
+                self.mirror.take(&news.news, news.epoch);
+                for (id, waiter) in waiting {
+                    match self.mirror.jobs.get(&id).copied() {
+                        Some(shown) => self.tell_shown(&id, shown, waiter),
+                        None => self.read_final(&id, waiter),
+                    }
+                }
+            }
+            // Too much has changed since: each reads its own key, and the jobs are listed anew.
+            Outcome::TooOld => {
+                self.mirror.advance(Known::Nothing);
+                for (id, waiter) in waiting {
+                    self.read_job(&id, waiter);
+                }
+                self.turn_away_from_mirror();
+            }
+            _ => {
+                if matches!(self.mirror.known, Known::Listing(_)) {
+                    self.mirror.advance(Known::Nothing);
+                }
+                for (_, waiter) in waiting {
+                    self.reply(waiter.request, Reply::later("the state service does not answer"));
+                }
+            }
+        }
+        self.tend_mirror();
+    }
+
+    /// Who waits for a mirror that knows nothing reads its job's own key.
+    fn turn_away_from_mirror(&mut self) {
+        for (id, waiter) in std::mem::take(&mut self.mirror.next) {
+            self.read_job(&id, waiter);
+        }
+    }
+}
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -22,6 +22,7 @@
 mod effort;
 mod lead;
 mod ledger;
+mod mirror;
 mod passes;
 mod peers;
 mod plugins;
@@ -47,6 +48,7 @@
 use crate::tables::Tables;
 use crate::term::{Phase, Term};
 use desk::Desk;
+use mirror::Mirror;
 use peers::Peer;
 use plugins::Plugins;
 use rand::rngs::StdRng;
@@ -219,6 +221,7 @@
     rest_until: Time,
     status_at: Time,
     requests: Requests,
+    mirror: Mirror,
     finals: HashMap<JobId, FinalRecord>,
     final_order: VecDeque<JobId>,
     counts: BTreeMap<String, (u32, u32)>,
@@ -251,6 +254,7 @@
         let (rps, write_rps) = rates(&settings, false);
         let cloud = Cloud::new(settings.settings.cloud.rps, now.steady);
         let limits = settings.settings.machine_limits.clone();
+        let budget = Budget::of(limits.mem_mb, limits.max_connections);
         let mut node = Node {
             process: rng.random::<u64>() >> 1,
             now,
@@ -267,7 +271,7 @@
             plugins: Plugins::new(operator.plugins.enabled),
             heard: Vec::new(),
             scored: 0,
-            budget: Budget::of(limits.mem_mb, limits.max_connections),
+            budget,
             pressure: Pressure::new(now.steady),
             load: Load::default(),
             upkeep: Load::default(),
@@ -280,6 +284,7 @@
             rest_until: 0,
             status_at: 0,
             requests: Requests::default(),
+            mirror: Mirror::new(budget.mirrored),
             finals: HashMap::new(),
             final_order: VecDeque::new(),
             counts: BTreeMap::new(),
@@ -410,6 +415,8 @@
             leader.flush_all(&mut ctx);
         }
         self.sweep();
+        self.retire();
+        self.tend_mirror();
         self.tend_plugins();
         self.status();
     }
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -1,6 +1,7 @@
 //! Users' requests. Every answer about a job that is not over comes from a read of the store that
 //! began after the request came; identical reads are merged.
 
+use super::mirror::Shown;
 use super::{Ask, Node, Purpose, Reply, RequestId};
 use crate::constants::*;
 use crate::job::*;
@@ -24,8 +25,8 @@
 }
 
 #[derive(Debug)]
-struct Waiter {
-    request: RequestId,
+pub(super) struct Waiter {
+    pub request: RequestId,
     intent: Intent,
 }
 
@@ -58,7 +59,7 @@
 }
 
 impl Node {
-    fn reply(&mut self, request: RequestId, reply: Reply) {
+    pub(super) fn reply(&mut self, request: RequestId, reply: Reply) {
         self.answer(request, reply);
     }
 
@@ -88,7 +89,14 @@
             self.reply(request, final_reply(&id, &record));
             return;
         }
-        self.read_job(&id, Waiter { request, intent });
+        let waiter = Waiter { request, intent };
+        if !matches!(waiter.intent, Intent::Poll) || !self.mirror.serves() {
+            return self.read_job(&id, waiter);
+        }
+        if self.store.away() || self.mirrored() >= self.budget.polls {
+            return self.reply(request, Reply::later("the state service does not answer"));
+        }
+        self.ask_mirror(id, waiter);
     }
 
     fn on_submit(&mut self, request: RequestId, body: &[u8]) {
@@ -154,7 +162,7 @@
         None
     }
 
-    fn read_job(&mut self, id: &JobId, waiter: Waiter) {
+    pub(super) fn read_job(&mut self, id: &JobId, waiter: Waiter) {
         if self.store.away() || !self.store.has_room(self.budget.calls) {
             let reply = Reply::later("the state service does not answer");
             return self.reply(waiter.request, reply);
@@ -169,6 +177,41 @@
         }
     }
 
+    /// Tells what a job's key shows.
+    pub(super) fn tell_shown(&mut self, id: &JobId, shown: Shown, waiter: Waiter) {
+        let counts = self.counts_of(id);
+        let status = match shown {
+            Shown::Over(record) => {
+                self.remember_final(id, record);
+                return self.reply(waiter.request, final_reply(id, &record));
+            }
+            Shown::Cancelled => Status::Cancelled,
+            Shown::Live if counts.1 > 0 => Status::Running,
+            Shown::Live => Status::Pending,
+        };
+        self.reply(waiter.request, Reply::new(200, &answer(id, status, Some(counts))));
+    }
+
+    /// A job's key was read and is not there: its final record tells.
+    pub(super) fn read_final(&mut self, id: &JobId, waiter: Waiter) {
+        match self.requests.reads.get_mut(id) {
+            // A read of its key is under way; what it finds may be older than the question.
+            Some(reading) => reading.next.push(waiter),
+            None => {
+                let reading = Reading { current: vec![waiter], next: Vec::new() };
+                self.requests.reads.insert(id.clone(), reading);
+                self.start_final(id.clone());
+            }
+        }
+    }
+
+    fn start_final(&mut self, id: JobId) {
+        let until = self.now.steady + USER_STORE_TIMEOUT_MS;
+        let call = Call::Get(keys::end(&id));
+        let purpose = Purpose::ReadFinal(id);
+        self.store.push(call, purpose, Urgency::Work, Patience::Once(until));
+    }
+
     fn start_read(&mut self, id: &JobId) {
         let until = self.now.steady + USER_STORE_TIMEOUT_MS;
         let call = Call::Get(keys::job(id));
@@ -192,28 +235,19 @@
                 _ => self.reply(request, Reply::later("the state service did not confirm")),
             },
             Purpose::ReadJob(id) => match end.outcome {
-                Outcome::Found(pair) => match serde_json::from_value::<JobRecord>(pair.value) {
-                    Ok(record) => self.on_live(&id, record, pair.stamp),
-                    Err(_) => self.on_unread(&id),
+                Outcome::Found(pair) => match StoredJob::read(&pair.value) {
+                    Some(StoredJob::Live(record)) => self.on_live(&id, record, pair.stamp),
+                    Some(StoredJob::Over(record)) => self.on_over(&id, record),
+                    None => self.on_unread(&id),
                 },
                 // Not live: over, or never accepted. A job goes from the one key to the other in
                 // one transaction and never back, so this order of reads misses none.
-                Outcome::Missing { .. } => {
-                    let until = self.now.steady + USER_STORE_TIMEOUT_MS;
-                    let call = Call::Get(keys::end(&id));
-                    let purpose = Purpose::ReadFinal(id);
-                    self.store.push(call, purpose, Urgency::Work, Patience::Once(until));
-                }
+                Outcome::Missing { .. } => self.start_final(id),
                 _ => self.on_unread(&id),
             },
             Purpose::ReadFinal(id) => match end.outcome {
                 Outcome::Found(pair) => match serde_json::from_value::<FinalRecord>(pair.value) {
-                    Ok(record) => {
-                        self.remember_final(&id, record);
-                        for waiter in self.read_over(&id) {
-                            self.reply(waiter.request, final_reply(&id, &record));
-                        }
-                    }
+                    Ok(record) => self.on_over(&id, record),
                     Err(_) => self.on_unread(&id),
                 },
                 Outcome::Missing { .. } => {
@@ -260,6 +294,13 @@
         served
     }
 
+    fn on_over(&mut self, id: &JobId, record: FinalRecord) {
+        self.remember_final(id, record);
+        for waiter in self.read_over(id) {
+            self.reply(waiter.request, final_reply(id, &record));
+        }
+    }
+
     fn on_unread(&mut self, id: &JobId) {
         for waiter in self.read_over(id) {
             self.reply(waiter.request, Reply::later("the state service does not answer"));
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -29,6 +29,13 @@
     },
     /// Extend a lease.
     Extend(u64),
+    /// Read what has changed, without waiting.
+    News {
+        /// Prefix.
+        prefix: String,
+        /// After this revision.
+        from: u64,
+    },
     /// Wait for changes.
     Follow {
         /// Prefix.
@@ -97,6 +104,8 @@
     Work,
     /// What nothing waits for.
     Tidy,
+    /// What may wait until the service has nothing else to do for this node.
+    Idle,
 }
 
 /// How long a call is tried.
@@ -177,7 +186,7 @@
 pub struct Store<P> {
     requests: Bucket,
     writes: Bucket,
-    queues: [VecDeque<Pending<P>>; 3],
+    queues: [VecDeque<Pending<P>>; 4],
     flying: HashMap<u64, Pending<P>>,
     follows: usize,
     next: u64,
@@ -199,7 +208,7 @@
         Store {
             requests: Bucket::new(rps, now),
             writes: Bucket::new(write_rps, now),
-            queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
+            queues: [const { VecDeque::new() }; 4],
             flying: HashMap::new(),
             follows: 0,
             next: 1,
@@ -240,8 +249,8 @@
     }
 
     /// Calls that wait, by urgency.
-    pub fn queued(&self) -> [usize; 3] {
-        [0, 1, 2].map(|level: usize| self.queues[level].len())
+    pub fn queued(&self) -> [usize; 4] {
+        [0, 1, 2, 3].map(|level: usize| self.queues[level].len())
     }
 
     /// Asks for a call.
@@ -291,7 +300,7 @@
 
     fn may_leave(&mut self, pending: &Pending<P>, now: Time) -> bool {
         // What is less urgent leaves a part of the budget to the more urgent.
-        let spare = [0.0, 0.1, 0.4][pending.urgency as usize];
+        let spare = [0.0, 0.1, 0.4, 0.7][pending.urgency as usize];
         let term = pending.urgency == Urgency::Term;
         now >= pending.not_before
             && (term || now >= self.paused_until)
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -22,7 +22,7 @@
 use crate::job::*;
 use crate::machine::{Machine, Standing};
 use crate::settings::{Platform, Workers};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use swiftsail_amounts::Amounts;
 use swiftsail_membership::{Detector, Seen, State};
 use swiftsail_wire::cloud::{ListedState, Listing};
@@ -66,6 +66,12 @@
     pub ledger: Ledger,
     /// Keys of bindings whose job is over, to be removed.
     pub left_over: Vec<String>,
+    /// Jobs that are over and whose records are still to move to their last place, with their stamps.
+    pub over: VecDeque<(JobId, u64, FinalRecord)>,
+    /// Some of them are being moved.
+    pub moving: bool,
+    /// The store is being read by a new leader.
+    loading: bool,
     /// What may be used of each team's limit, where limits are held in the state service; none: what the
     /// settings say.
     pub caps: Option<Vec<Amounts>>,
@@ -115,6 +121,9 @@
             nonce: 0,
             ledger: Ledger::default(),
             left_over: Vec::new(),
+            over: VecDeque::new(),
+            moving: false,
+            loading: true,
             caps: None,
             shrunk_at: 0,
             happenings: Happenings::default(),
@@ -152,6 +161,7 @@
 
     /// After loading: machines that bindings name are expected.
     pub fn index(&mut self, now: Time) {
+        self.loading = false;
         for (id, job) in &self.jobs {
             for (task, attempt) in &job.attempts {
                 let machine = self
@@ -173,11 +183,21 @@
         wall: u64,
     ) {
         let Some(id) = key.strip_prefix(keys::JOBS) else { return };
-        let Ok(record) = serde_json::from_value::<JobRecord>(value.clone()) else {
-            tracing::error!(key, "a job's record cannot be read");
-            return;
-        };
         let id = JobId::from(id);
+        let record = match StoredJob::read(value) {
+            Some(StoredJob::Live(record)) => record,
+            // Found by a new leader: its predecessor ended it. One's own is known already.
+            Some(StoredJob::Over(record)) => {
+                if self.loading {
+                    self.over.push_back((id, stamp, record));
+                }
+                return;
+            }
+            None => {
+                tracing::error!(key, "a job's record cannot be read");
+                return;
+            }
+        };
         let job = self.jobs.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
             self.happenings.note("job", "accepted", &id, Some(&record.spec.class));
--- a/crates/overload/src/budget.rs
+++ b/crates/overload/src/budget.rs
@@ -14,6 +14,10 @@
     pub reports: usize,
     /// Calls to the state service that wait.
     pub calls: usize,
+    /// Polls that wait for a read.
+    pub polls: usize,
+    /// Jobs whose state is kept for polls.
+    pub mirrored: usize,
     /// Final answers in the cache.
     pub finals: usize,
     /// Machines that a leader's tables can hold with what runs on them.
@@ -33,6 +37,8 @@
             body_bytes: part(BODIES_SHARE, 1).max(PART_LEAST * REQUEST_BYTES),
             reports: part(RELAYS_SHARE, REPORT_BYTES),
             calls: part(CALLS_SHARE, CALL_BYTES),
+            polls: part(POLLS_SHARE, POLL_BYTES),
+            mirrored: part(MIRROR_SHARE, MIRRORED_BYTES),
             finals: part(CACHES_SHARE, FINAL_BYTES),
             machines: part(TABLES_SHARE, MACHINE_BYTES),
             pass_bytes: part(PASS_SHARE, 1),
@@ -45,6 +51,8 @@
             + self.body_bytes
             + self.reports * REPORT_BYTES
             + self.calls * CALL_BYTES
+            + self.polls * POLL_BYTES
+            + self.mirrored * MIRRORED_BYTES
             + self.finals * FINAL_BYTES
             + self.machines * MACHINE_BYTES
             + self.pass_bytes
--- a/crates/overload/src/constants.rs
+++ b/crates/overload/src/constants.rs
@@ -20,13 +20,21 @@
 /// Reports that wait to be passed on, and those held while a new leader reads the store.
 pub const RELAYS_SHARE: f64 = 0.07;
 /// Calls to the state service that wait or fly, with what they write.
-pub const CALLS_SHARE: f64 = 0.06;
+pub const CALLS_SHARE: f64 = 0.04;
 /// Final answers and other caches: a miss costs a read.
 pub const CACHES_SHARE: f64 = 0.02;
 /// Jobs, tasks and machines of a leader.
 pub const TABLES_SHARE: f64 = 0.23;
 /// What a pass of placement works with: leaders were killed for it when some hundred jobs waited.
 pub const PASS_SHARE: f64 = 0.12;
+/// Share of polls that wait for a read of what has changed.
+pub const POLLS_SHARE: f64 = 0.005;
+/// Share of the jobs kept for polls.
+pub const MIRROR_SHARE: f64 = 0.015;
+/// Memory of a poll that waits, bytes, beside what its request holds.
+pub const POLL_BYTES: usize = 200;
+/// Memory of a job kept for polls, bytes: its name and what its key shows.
+pub const MIRRORED_BYTES: usize = 100;
 /// Bytes of a report that waits, as decoded, with a few dozen tasks.
 pub const REPORT_BYTES: usize = 6 * KB;
 /// Bytes of a call that waits: mostly a chunk or sheet of a few KB.
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -585,6 +585,10 @@
             },
             Call::Extend(id) if self.store.extend(*id, now) => Outcome::Granted(*id),
             Call::Extend(_) => Outcome::NoGrant,
+            Call::News { prefix, from } => match self.store.news(prefix, *from) {
+                Err(TooOld) => Outcome::TooOld,
+                Ok(news) => Outcome::News(news.unwrap_or_else(|| self.store.no_news())),
+            },
             Call::Follow { .. } => Outcome::Unknown,
         }
     }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -309,6 +309,10 @@
             let body = write(&HashMap::<String, u64>::new());
             send(client.post(url(rest)), Some(body)).await
         }
+        Call::News { prefix, from } => {
+            let rest = format!("{}?starts={prefix}&from={from}&block_ms=0", path::FOLLOW);
+            send(client.get(url(rest)), None).await
+        }
         Call::Follow { prefix, from } => {
             let rest =
                 format!("{}?starts={prefix}&from={from}&block_ms={FOLLOW_BLOCK_MS}", path::FOLLOW);
@@ -329,7 +333,7 @@
             read_as(&bytes, |g: state_wire::Granted| Outcome::Granted(g.mooring))
         }
         (200, Call::Extend(id)) => Outcome::Granted(*id),
-        (200, Call::Follow { .. }) => read_as(&bytes, Outcome::News),
+        (200, Call::Follow { .. } | Call::News { .. }) => read_as(&bytes, Outcome::News),
         (404, Call::Extend(_)) => Outcome::NoGrant,
         (404, _) => Outcome::Missing { epoch: 0 },
         (409, _) => read_as(&bytes, |c: state_wire::Committed| Outcome::Conflict(c.failed)),
