Bindings first, ends by priority, transactions in turn; a pass looks at no more than its time allows

Its ledger's transaction of seven changes waited while hundreds of one change passed it, so 3,455 bindings waited for their commit and machines stood idle.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -159,6 +159,14 @@
 /// Least time between two writes of the ledger, ms: a few a second leave most of 20 to 30 changes
 /// a second to chunks and ends.
 pub const LEDGER_MS: u64 = 200;
+/// A write of so many sheets is followed by a rest of this many times as long as they take of the changes
+/// a second that the leader may make.
+pub const LEDGER_PART: f64 = 2.0;
+/// Chunks of a job written with one transaction: more would take a second's changes at once.
+pub const FOLDS_AT_ONCE: usize = 4;
+/// Ends of jobs that wait for the store's budget at once: those that come later are told by priority, not
+/// in the order in which they came.
+pub const ENDS_QUEUED: usize = 6;
 /// Largest sheet of the ledger, bytes, where values may be larger (processor: it is written whole).
 pub const SHEET_BYTES: usize = 8 * 1024;
 /// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
@@ -363,6 +371,13 @@
 pub const TICK_US: f64 = 40.0;
 /// ... and in it each machine.
 pub const TICK_MACHINE_US: f64 = 0.15;
+/// Time that the looks of a pass may take, ms, on the share of a core that the platform gives: with its other
+/// work a quarter of the grant.
+pub const LOOKS_MS: f64 = 600.0;
+/// Lines that a round offers at least, however many jobs look at them.
+pub const LINES_LEAST: usize = 50;
+/// Tasks that join lines in one pass at most (processor): the next goes on.
+pub const PASS_JOINS: usize = 600;
 /// Time of a whole core that a place looked at by a chooser takes, us, measured.
 pub const LOOK_US: f64 = 0.25;
 /// Time of a whole core that a score takes, us, measured.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -102,7 +102,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoredJob {
     /// It is not over.
-    Live(JobRecord),
+    Live(Box<JobRecord>),
     /// It is over, and its record has not moved to its last place yet.
     Over(FinalRecord),
 }
@@ -110,7 +110,7 @@
 impl StoredJob {
     /// Reads a value; none if it is neither.
     pub fn read(value: &serde_json::Value) -> Option<StoredJob> {
-        let live = JobRecord::deserialize(value).map(StoredJob::Live);
+        let live = JobRecord::deserialize(value).map(|r| StoredJob::Live(Box::new(r)));
         live.or_else(|_| FinalRecord::deserialize(value).map(StoredJob::Over)).ok()
     }
 }
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -8,6 +8,7 @@
 use crate::job::*;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
 use crate::tables::{Tables, split_task};
+use std::cmp::Reverse;
 use swiftsail_wire::state::{Change, Commit, Page, When};
 use swiftsail_wire::workers::Cause;
 
@@ -44,8 +45,9 @@
                 due.push((*at, id.clone()));
             }
         }
+        ends.sort_by_key(|id| self.jobs.get(id).map(|j| Reverse(j.spec.priority)));
         for id in ends {
-            self.flush(&id, ctx);
+            self.end_if_over(&id, ctx);
         }
         due.sort();
         for (_, id) in due {
@@ -68,7 +70,8 @@
 
     /// Ends a job as soon as nothing of it is left to do.
     pub fn end_if_over(&mut self, id: &JobId, ctx: &mut Ctx) {
-        if self.jobs.get(id).is_some_and(|j| j.flight.is_none() && closing(j).is_some()) {
+        let waits = ctx.store.queued()[Urgency::Work as usize] >= ENDS_QUEUED;
+        if !waits && self.jobs.get(id).is_some_and(|j| j.flight.is_none() && closing(j).is_some()) {
             self.flush(id, ctx);
         }
     }
@@ -116,7 +119,7 @@
             if chunks.is_empty() {
                 return;
             }
-            for (_, chunk) in chunks.into_iter().take(ops) {
+            for (_, chunk) in chunks.into_iter().take(ops.min(FOLDS_AT_ONCE)) {
                 let elsewhere = |task: u32| self.ledger.holds(id, task);
                 let record = job.chunk(chunk, (nonce, upto), value, take_over, elsewhere);
                 bytes += CHUNK_BYTES + record.done.len() * RANGE_BYTES;
--- a/crates/core/src/node/effort.rs
+++ b/crates/core/src/node/effort.rs
@@ -7,7 +7,7 @@
 use crate::settings::Settings;
 use crate::steering::Bounds;
 use crate::store::Outcome;
-use crate::tables::Wish;
+use crate::tables::{Tables, Wish};
 use swiftsail_overload::budget::Budget;
 use swiftsail_overload::constants::{INTERVAL_MS, LOAD_MOST, LOAD_SMOOTH_MS};
 use swiftsail_overload::headroom::{Bound, machines_most};
@@ -94,12 +94,21 @@
 
     /// Bounds of the next pass.
     pub(super) fn bounds(&self) -> Bounds {
-        let lines = self.pressure.shrunk(LINES_MOST);
         let machines = self.leader.as_ref().map_or(0, |l| l.machines.len());
-        let by_memory = self.budget.pass_bytes / ((machines + lines) * PLACE_BYTES);
+        let waits = |l: &Tables| l.jobs.values().filter(|j| !j.waiting.is_empty()).count();
+        let open = self.leader.as_ref().map_or(0, waits).max(1);
+        // Each job that waits looks at every place, twice if it does not pass. Hundreds of jobs of one task
+        // at thousands of lines took longer than the grant lasts.
+        let looks = (self.share_us(LOOKS_MS as u64) / (2.0 * LOOK_US)) as usize;
+        let lines = (looks / open).saturating_sub(machines).max(LINES_LEAST);
+        let lines = self.pressure.shrunk(LINES_MOST).min(lines);
+        let places = (machines + lines).max(1);
+        let by_memory = self.budget.pass_bytes / (places * PLACE_BYTES);
+        let jobs = self.pressure.shrunk(PASS_JOBS).min(by_memory).min(looks / places);
         Bounds {
             binds: self.pressure.shrunk(PASS_BINDS),
-            jobs: self.pressure.shrunk(PASS_JOBS).min(by_memory).max(PASS_JOBS_LEAST),
+            joins: self.pressure.shrunk(PASS_JOINS),
+            jobs: jobs.max(PASS_JOBS_LEAST),
             lines,
             scarce: self.machines_left() < RENT_MOST as usize,
         }
--- a/crates/core/src/node/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -47,7 +47,7 @@
     /// Commits new bindings, one transaction at a time, each with all that has come up by then.
     pub fn write_ledger(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
-        if self.ledger.passage.is_some() || now < self.ledger.written_at + LEDGER_MS {
+        if self.ledger.passage.is_some() || now < self.ledger.rests_until {
             return;
         }
         let dirty: Vec<usize> =
@@ -55,7 +55,6 @@
         if dirty.is_empty() {
             return;
         }
-        self.ledger.written_at = now;
         self.nonce += 1;
         let state = &ctx.settings.settings.state;
         let value = (state.value_kb * 1024.0) as usize;
@@ -106,6 +105,10 @@
             commit.apply.push(super::chunks::put(key, &record));
             passage.sheets.push(n);
         }
+        // Half of the changes that this node may make are for users, ends and chunks.
+        let rate = ctx.store.write_rate();
+        let rest = passage.sheets.len() as f64 * LEDGER_PART * MS_PER_S / rate;
+        self.ledger.rests_until = now + (rest as u64).max(LEDGER_MS);
         for (id, task, launch) in over {
             self.ledger.forget(&id, task, Some(launch));
         }
@@ -119,7 +122,7 @@
         }
         self.ledger.passage = Some(passage);
         let purpose = Purpose::Ledger { era: self.era };
-        ctx.store.push(Call::Commit(commit), purpose, Urgency::Work, Patience::Always);
+        ctx.store.push(Call::Commit(commit), purpose, Urgency::Bind, Patience::Always);
     }
 
     /// The ledger's transaction has ended. Returns true if the term is lost.
@@ -149,7 +152,7 @@
         match passage.unread.pop() {
             Some(key) => {
                 let purpose = Purpose::ResolveLedger { era: self.era, key: key.clone() };
-                ctx.store.push(Call::Get(key), purpose, Urgency::Work, Patience::Always);
+                ctx.store.push(Call::Get(key), purpose, Urgency::Bind, Patience::Always);
             }
             None => {
                 let applied = passage.applied;
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -236,7 +236,7 @@
             },
             Purpose::ReadJob(id) => match end.outcome {
                 Outcome::Found(pair) => match StoredJob::read(&pair.value) {
-                    Some(StoredJob::Live(record)) => self.on_live(&id, record, pair.stamp),
+                    Some(StoredJob::Live(record)) => self.on_live(&id, *record, pair.stamp),
                     Some(StoredJob::Over(record)) => self.on_over(&id, record),
                     None => self.on_unread(&id),
                 },
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -37,6 +37,8 @@
     pub due: Option<Time>,
     pub overdue: bool,
     pub left: u32,
+    /// The pass has let its share of tasks join lines: this one's go on with the next.
+    pub set_aside: bool,
     pub bad: Vec<MachineId>,
     /// Its team's limit leaves less than its jobs want: it places what it was given of it.
     pub capped: bool,
@@ -135,6 +137,7 @@
             due: job.due,
             overdue: job.missed,
             left: self.free_tasks(job),
+            set_aside: false,
             bad: job.bad_machines.iter().cloned().collect(),
             capped: false,
             team: self.view.settings.settings.teams.iter().position(|t| t.name == spec.team),
@@ -294,9 +297,15 @@
             c.search(passing);
         }
         while self.binds < self.view.steering.bounds.binds {
+            let joined = self.joins >= self.view.steering.bounds.joins;
             let mut best: Option<(usize, usize, f64)> = None;
-            for (n, c) in choosers.iter_mut().enumerate().filter(|(_, c)| c.left > 0) {
+            let open = |(_, c): &(usize, &mut Chooser)| c.left > 0 && !c.set_aside;
+            for (n, c) in choosers.iter_mut().enumerate().filter(open) {
                 let Some((place, score)) = self.pick(c, passing) else { continue };
+                if joined && matches!(self.places[place].what, What::Line(_)) {
+                    c.set_aside = true;
+                    continue;
+                }
                 if best.is_none_or(|(_, _, mean)| score.mean < mean) {
                     best = Some((n, place, score.mean));
                 }
@@ -315,7 +324,7 @@
         if !self.full || self.binds >= self.view.steering.bounds.binds {
             return;
         }
-        for c in choosers.iter_mut() {
+        for c in choosers.iter_mut().filter(|c| !c.set_aside) {
             self.plan_rentals(c, passing);
         }
     }
@@ -335,6 +344,7 @@
                 self.places[index].room.take(&each);
             }
             What::Line(slot) => {
+                self.joins += 1;
                 self.out.lines.join(slot.clone(), &c.id);
                 let end = self.end_after(self.places[index].end, &c.id, kind);
                 self.places[index].end = end;
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -108,6 +108,8 @@
     pub full: bool,
     /// Tasks bound in this pass.
     pub binds: usize,
+    /// Tasks that have joined lines in it.
+    pub joins: usize,
     pub out: Plan,
 }
 
@@ -130,6 +132,7 @@
         demand: HashMap::new(),
         full,
         binds: 0,
+        joins: 0,
         out: Plan { lines: tables.lines.clone(), ..Plan::default() },
     };
     if full {
@@ -243,7 +246,7 @@
             }
             self.map(&mut others, true);
             others.iter_mut().for_each(Chooser::rest);
-            rest.extend(others.into_iter().filter(|c| c.left > 0));
+            rest.extend(others.into_iter().filter(|c| c.left > 0 && !c.set_aside));
         }
         self.take_turns(&mut rest);
         self.map(&mut rest, false);
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -38,6 +38,8 @@
 pub struct Bounds {
     /// Tasks bound.
     pub binds: usize,
+    /// Tasks that join lines.
+    pub joins: usize,
     /// Jobs of one level placed.
     pub jobs: usize,
     /// Lines offered.
@@ -48,7 +50,13 @@
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { binds: PASS_BINDS, jobs: PASS_JOBS, lines: LINES_MOST, scarce: false }
+        Bounds {
+            binds: PASS_BINDS,
+            joins: PASS_JOINS,
+            jobs: PASS_JOBS,
+            lines: LINES_MOST,
+            scarce: false,
+        }
     }
 }
 
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -100,6 +100,8 @@
 pub enum Urgency {
     /// The term.
     Term,
+    /// Bindings of tasks that are to start.
+    Bind,
     /// Users and tasks.
     Work,
     /// What nothing waits for.
@@ -186,7 +188,7 @@
 pub struct Store<P> {
     requests: Bucket,
     writes: Bucket,
-    queues: [VecDeque<Pending<P>>; 4],
+    queues: [VecDeque<Pending<P>>; 5],
     flying: HashMap<u64, Pending<P>>,
     follows: usize,
     next: u64,
@@ -208,7 +210,7 @@
         Store {
             requests: Bucket::new(rps, now),
             writes: Bucket::new(write_rps, now),
-            queues: [const { VecDeque::new() }; 4],
+            queues: [const { VecDeque::new() }; 5],
             flying: HashMap::new(),
             follows: 0,
             next: 1,
@@ -238,6 +240,11 @@
         }
     }
 
+    /// Changes a second that this node may make.
+    pub fn write_rate(&self) -> f64 {
+        self.write_rps.max(1.0)
+    }
+
     /// Whether the service is known to be away: its latest word was a refusal.
     pub fn away(&self) -> bool {
         self.last_fail.is_some() && self.last_fail > self.last_ok
@@ -249,8 +256,8 @@
     }
 
     /// Calls that wait, by urgency.
-    pub fn queued(&self) -> [usize; 4] {
-        [0, 1, 2, 3].map(|level: usize| self.queues[level].len())
+    pub fn queued(&self) -> [usize; 5] {
+        [0, 1, 2, 3, 4].map(|level: usize| self.queues[level].len())
     }
 
     /// Asks for a call.
@@ -270,6 +277,9 @@
     /// Calls that may leave now, and those whose time has run out.
     pub fn pump(&mut self, now: Time) -> (Vec<(u64, Call)>, Vec<Finished<P>>) {
         let (mut out, mut late) = (Vec::new(), Vec::new());
+        // A transaction of several changes that waits for its turn has it: else those of one change that
+        // came later would take what it waits for, for as long as there are any.
+        let mut starved = false;
         for level in 0..self.queues.len() {
             let mut kept = VecDeque::new();
             while let Some(mut pending) = self.queues[level].pop_front() {
@@ -279,7 +289,10 @@
                     late.push(finished(pending, Outcome::Refused));
                     continue;
                 }
-                if !self.may_leave(&pending, now) {
+                let writes = pending.call.writes();
+                if writes > 0.0 && starved || !self.may_leave(&pending, now) {
+                    let ready = now >= pending.not_before && now >= self.paused_until;
+                    starved |= writes > 0.0 && ready;
                     kept.push_back(pending);
                     continue;
                 }
@@ -300,7 +313,7 @@
 
     fn may_leave(&mut self, pending: &Pending<P>, now: Time) -> bool {
         // What is less urgent leaves a part of the budget to the more urgent.
-        let spare = [0.0, 0.1, 0.4, 0.7][pending.urgency as usize];
+        let spare = [0.0, 0.05, 0.1, 0.4, 0.7][pending.urgency as usize];
         let term = pending.urgency == Urgency::Term;
         now >= pending.not_before
             && (term || now >= self.paused_until)
--- a/crates/core/src/tables/sheets.rs
+++ b/crates/core/src/tables/sheets.rs
@@ -61,7 +61,8 @@
 pub struct Ledger {
     pub(crate) sheets: Vec<Sheet>,
     pub(crate) passage: Option<Passage>,
-    pub(crate) written_at: Time,
+    /// No write before that.
+    pub(crate) rests_until: Time,
     /// The sheet of each binding, and its size there.
     places: HashMap<(JobId, u32), (usize, usize)>,
     /// Bindings by launch: the oldest come first.
