Who stands still proves its lead anew; who is back at once takes its predecessor's place

A process that slept for longer than its grant lasts woke with reports in its sockets and answered them under a token that another had replaced, for up to 19 s. It now asks for its grant first and holds reports, cloud calls, commands and writes until that is answered; a heartbeat that waited in a socket vouches for nothing. One that is back within a fraction of a second found its predecessor's key and waited 2.5 s for it to go.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -8,6 +8,10 @@
 /// Time to live of the leader's grant, ms. Short, because a crashed leader is replaced only after
 /// it; long enough for two lost extensions and a few hundred ms of store latency.
 pub const GRANT_TTL_MS: u64 = 2_500;
+/// Part of that which is not counted on after a standstill, ms: clocks that differ, and the answer's way.
+pub const GRANT_SPARE_MS: u64 = 100;
+/// Time between two events from which on the process has stood still, ms: timer steps come every tenth of it.
+pub const STANDSTILL_MS: u64 = 1_000;
 /// Time between extensions of the grant, ms: three tries within one time to live.
 pub const GRANT_EXTEND_MS: u64 = 700;
 /// Most random delay before a campaign, ms, so that nodes seldom collide.
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -27,8 +27,23 @@
     }
 
     pub(super) fn term_key(&mut self, held: Option<(LeaderRecord, u64)>) {
+        let first = !std::mem::replace(&mut self.term.read, true);
         match held {
+            // The first reading of a process that is back at once finds its predecessor's key, alive for as
+            // long as its grant lasts. That process has ended, and this one need not wait for it: it takes
+            // the key's place, under a grant and a token of its own, on condition that nobody else has.
+            Some((record, stamp))
+                if first
+                    && record.node == self.settings.host_name
+                    && record.process != self.process
+                    && self.term.phase() == Phase::Unknown =>
+            {
+                self.term.saw(stamp);
+                self.term.replaces = stamp;
+                self.term.advance(Phase::Vacant(self.now.steady));
+            }
             None => {
+                self.term.replaces = 0;
                 if self.term.holds() {
                     self.step_down("its key is gone");
                 }
@@ -71,6 +86,8 @@
         }
         self.term.held_by(&self.settings.host_name.clone(), token);
         self.term.extend_at = now;
+        // The key was written under a grant that may have ended while the answer waited.
+        self.term.wake(now);
         let (rps, writes) = rates(&self.settings, true);
         self.store.set_rates(rps, writes, now);
         tracing::info!(term = token, "leading: reading the store");
@@ -94,6 +111,7 @@
         let era = self.term.era;
         self.store.forget(|p| p.era().is_none_or(|e| e == era));
         self.cloud.clear();
+        self.direct.clear();
         for (id, _) in std::mem::take(&mut self.held_reports) {
             self.actions.push(Action::Reply(id, self.redirect()));
         }
@@ -133,14 +151,14 @@
             }
             Purpose::Grant { asked, .. } => match end.outcome {
                 Outcome::Granted(grant) => {
-                    self.term.extended_at = asked;
+                    self.term.extended(asked);
                     self.term.advance(Phase::Acquiring(grant));
                     let record = LeaderRecord {
                         node: self.settings.host_name.clone(),
                         process: self.process,
                     };
                     let commit = Commit {
-                        when: vec![When { key: keys::LEADER.into(), stamp: 0 }],
+                        when: vec![When { key: keys::LEADER.into(), stamp: self.term.replaces }],
                         apply: vec![Change::Write {
                             write: keys::LEADER.into(),
                             value: serde_json::to_value(&record).unwrap_or_default(),
@@ -169,7 +187,7 @@
                 _ => self.campaign_failed(),
             },
             Purpose::Extend { asked, .. } => match end.outcome {
-                Outcome::Granted(_) => self.term.extended_at = self.term.extended_at.max(asked),
+                Outcome::Granted(_) => self.proved(asked),
                 Outcome::NoGrant | Outcome::Missing { .. } => self.step_down("its lease has ended"),
                 _ => {}
             },
@@ -178,6 +196,7 @@
     }
 
     fn campaign_failed(&mut self) {
+        self.term.replaces = 0;
         if matches!(self.term.phase(), Phase::Granting | Phase::Acquiring(_)) {
             let wait = CAMPAIGN_RETRY_MS + self.rng.random_range(0..=CAMPAIGN_JITTER_MS);
             self.term.advance(Phase::Vacant(self.now.steady + wait));
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -28,6 +28,7 @@
 mod plugins;
 mod relay;
 mod requests;
+mod standstill;
 mod status;
 mod steer;
 mod workers;
@@ -240,6 +241,8 @@
     actions: Vec<Action>,
     direct: Vec<(String, Direct)>,
     types_asked: Time,
+    /// When the process last woke from a standstill.
+    woke_at: Time,
 }
 
 impl Node {
@@ -305,6 +308,7 @@
             actions: Vec::new(),
             direct: Vec::new(),
             types_asked: 0,
+            woke_at: 0,
             settings,
         };
         node.read_term();
@@ -324,15 +328,22 @@
         for end in late {
             self.on_store(end);
         }
-        let calls = self.cloud.pump(self.now.steady);
-        self.actions.extend(calls.into_iter().map(Action::Cloud));
-        self.actions.extend(self.direct.drain(..).map(|(to, d)| Action::Direct(to, d)));
+        // What a leader in doubt asks of the cloud or orders straight would be done under another's lead.
+        if self.sure() {
+            let calls = self.cloud.pump(self.now.steady);
+            self.actions.extend(calls.into_iter().map(Action::Cloud));
+            self.actions.extend(self.direct.drain(..).map(|(to, d)| Action::Direct(to, d)));
+        }
         std::mem::take(&mut self.actions)
     }
 
     /// Takes an event.
     pub fn handle(&mut self, event: Event, now: Now) {
+        let stood_ms = now.steady.saturating_sub(self.now.steady);
         self.now = now;
+        if stood_ms >= STANDSTILL_MS {
+            self.wake(stood_ms);
+        }
         self.count_cost(&event);
         match event {
             Event::Tick => self.tick(),
@@ -385,10 +396,7 @@
             self.store.push(call, purpose, Urgency::Term, Patience::Once(now + STORE_TIMEOUT_MS));
         }
         if self.term.holds() && now >= self.term.extend_at {
-            self.term.extend_at = now + GRANT_EXTEND_MS;
-            let purpose = Purpose::Extend { era: self.term.era, asked: now };
-            let call = Call::Extend(self.term.grant);
-            self.store.push(call, purpose, Urgency::Term, Patience::Once(now + GRANT_EXTEND_MS));
+            self.extend();
         }
         // A look at the term now and then also tells whether the store is there.
         if !self.term.holds() && now >= self.read_at + 2 * BEAT_MS {
@@ -403,8 +411,20 @@
             self.count_loads();
             self.actions.push(Action::Beat(self.beat()));
         }
+        if self.sure() {
+            self.lead();
+        } else {
+            self.doubt_on();
+        }
+        self.tend_mirror();
+        self.tend_plugins();
+        self.status();
+    }
+
+    /// A leader's part of a timer step.
+    fn lead(&mut self) {
         if let Some(leader) = &mut self.leader {
-            self.direct.extend(leader.stops(now));
+            self.direct.extend(leader.stops(self.now.steady));
         }
         self.tend_desk();
         self.tend_fleet();
@@ -416,9 +436,6 @@
         }
         self.sweep();
         self.retire();
-        self.tend_mirror();
-        self.tend_plugins();
-        self.status();
     }
 
     fn remember_final(&mut self, id: &JobId, record: FinalRecord) {
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -103,7 +103,8 @@
     /// Plays a pass, if one is due.
     pub(super) fn place(&mut self) {
         let now = self.now.steady;
-        let Some(leader) = self.leader.as_ref().filter(|_| now >= self.rest_until) else { return };
+        let may = self.sure() && now >= self.rest_until;
+        let Some(leader) = self.leader.as_ref().filter(|_| may) else { return };
         let round_ms = self.pressure.stretched(self.steering.round_ms);
         let pass_ms = self.pressure.stretched(PASS_MS);
         let Some(full) = placement::want_pass(leader, pass_ms, round_ms, now) else { return };
@@ -223,7 +224,8 @@
 
     /// Ends the jobs of which nothing is left to do.
     pub(super) fn end_jobs(&mut self) {
-        let Some(leader) = &mut self.leader else { return };
+        let sure = self.sure();
+        let Some(leader) = self.leader.as_mut().filter(|_| sure) else { return };
         for id in leader.take_ended() {
             leader.end_if_over(&id, &mut ctx!(self));
         }
--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -90,7 +90,7 @@
     }
 
     /// The duty ends, and with it what only it allowed.
-    fn lose_duty(&mut self) {
+    pub(super) fn lose_duty(&mut self) {
         self.duty.advance(Turn::Lost);
         self.well.clear();
         for known in self.known.values_mut() {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -26,7 +26,8 @@
         if self.term.saw(report.helm) {
             self.step_down("a worker has seen a newer token");
         }
-        if self.loading.is_some() && self.held_reports.len() < self.budget.reports {
+        let waits = self.loading.is_some() || !self.sure() && !self.may_answer();
+        if waits && self.held_reports.len() < self.budget.reports {
             self.held_reports.push((id, report));
             return;
         }
@@ -126,9 +127,12 @@
     }
 
     pub(super) fn may_answer(&self) -> bool {
+        // In doubt of its lead, a node has only others' word.
+        let ok = self.store.last_ok.filter(|_| self.sure()).unwrap_or(0);
         let limit = self.sure_for_ms();
-        let vouchers: Vec<Voucher> = self.peers.values().map(|p| p.voucher).collect();
-        let ok = self.store.last_ok.unwrap_or(0);
+        let from = self.vouched_from();
+        let vouchers = self.peers.values().map(|p| p.voucher);
+        let vouchers: Vec<Voucher> = vouchers.filter(|v| v.heard >= from).collect();
         let all = self.settings.controllers();
         may_answer(self.now.steady, self.term.token, ok, limit, &vouchers, all)
     }
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -32,6 +32,16 @@
     Leading,
 }
 
+/// Whether the grant of a node that holds the key is known to live.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// As far as anybody can tell.
+    Held,
+    /// The process stood still for longer than the grant lasts, and woke then: whatever it believes of its
+    /// lead is older than that.
+    Doubted(Time),
+}
+
 /// This node's view of the term.
 #[derive(Debug)]
 pub struct Term {
@@ -45,7 +55,12 @@
     /// Its lease.
     pub grant: u64,
     /// When the lease was last known to be extended (time the request was sent).
-    pub extended_at: Time,
+    extended_at: Time,
+    proof: Proof,
+    /// The term was read since this process began.
+    pub read: bool,
+    /// Stamp of the key that a campaign replaces: of this process's own predecessor, which has ended. 0: none.
+    pub replaces: u64,
     /// When the next extension is due.
     pub extend_at: Time,
     /// Counts changes of who leads, so that stale answers are known.
@@ -61,6 +76,9 @@
             token: 0,
             grant: 0,
             extended_at: 0,
+            proof: Proof::Held,
+            read: false,
+            replaces: 0,
             extend_at: 0,
             era: 0,
         }
@@ -96,6 +114,7 @@
             }
             if !matches!(to, Loading | Leading) {
                 self.token = 0;
+                self.proof = Proof::Held;
             }
             self.phase = to;
         }
@@ -121,9 +140,29 @@
         }
     }
 
-    /// The lease may be gone already: no extension for its whole time.
-    pub fn lapsed(&self, now: Time) -> bool {
-        self.holds() && now.saturating_sub(self.extended_at) > GRANT_TTL_MS
+    /// Whether the grant is known to live.
+    pub fn proof(&self) -> Proof {
+        self.proof
+    }
+
+    /// The process has stood still: what was in flight when it began may be from another time. Doubts the
+    /// grant if it may have ended meanwhile; a shorter standstill costs nothing. True if it does.
+    pub fn wake(&mut self, now: Time) -> bool {
+        let ended = now.saturating_sub(self.extended_at) + GRANT_SPARE_MS >= GRANT_TTL_MS;
+        if self.holds() && ended {
+            self.proof = Proof::Doubted(now);
+        }
+        self.holds() && ended
+    }
+
+    /// The grant was extended, or given, by a request sent then. Only one sent after the doubt began ends it.
+    pub fn extended(&mut self, asked: Time) {
+        self.extended_at = self.extended_at.max(asked);
+        if let Proof::Doubted(since) = self.proof
+            && asked >= since
+        {
+            self.proof = Proof::Held;
+        }
     }
 }
 
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -7,7 +7,7 @@
 mod users;
 
 use processor::Processor;
-pub use users::UserJob;
+pub use users::{UserJob, assert_over};
 
 use crate::cloud::Offered;
 use crate::constants::*;
@@ -20,7 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 use swiftsail_core::cloud;
-use swiftsail_core::job::{Kind, Priority, Spec};
+use swiftsail_core::job::{Kind, Priority, Spec, keys};
 use swiftsail_core::node::{Action, AdminAsk, Event, Node, Now, Reply};
 use swiftsail_core::settings::{Settings, State};
 use swiftsail_core::store::{Call, Outcome};
@@ -112,6 +112,10 @@
     Admin(usize, u64, Box<AdminAsk>),
     /// A node's processor is free again.
     Free(usize, u64),
+    /// A node stands still until that time.
+    Freeze(usize, u64),
+    /// It goes on.
+    Thaw(usize, u64),
 }
 
 enum Asker {
@@ -160,6 +164,12 @@
     /// Share of a core that every node has, if its work is to take time.
     pub cores: Option<f64>,
     processors: [Processor; NODES],
+    /// Until when a node stands still, and what has come for it meanwhile.
+    frozen: [(u64, Vec<Event>); NODES],
+    /// Time after which an ended controller is started again, ms; none: some seconds.
+    pub restart_ms: Option<u64>,
+    /// Reports answered with a token that the state service no longer holds.
+    pub stale_answers: u32,
     /// Requests that the gate has refused.
     pub refused: u64,
     /// Memory that every node that starts is told it has, MB: with less, workers are shared sooner.
@@ -209,6 +219,9 @@
             delivered: Vec::new(),
             cores: None,
             processors: Default::default(),
+            frozen: Default::default(),
+            restart_ms: None,
+            stale_answers: 0,
             refused: 0,
             memory_mb: 40.0,
             red_most: [40.0; NODES],
@@ -286,6 +299,11 @@
         self.at(BEGIN + at_ms, Ev::Crash(node));
     }
 
+    /// A controller stands still from a time on, for so long, while clocks run on: what comes for it waits.
+    pub fn freeze(&mut self, at_ms: u64, node: usize, for_ms: u64) {
+        self.at(BEGIN + at_ms, Ev::Freeze(node, BEGIN + at_ms + for_ms));
+    }
+
     /// So many `of` so many machines that are up die now, with all that is on them. Returns how many.
     pub fn die(&mut self, part: usize, of: usize) -> usize {
         let now = self.now;
@@ -332,11 +350,16 @@
     fn handle(&mut self, n: usize, life: u64, event: Event) {
         match self.cores {
             _ if self.lives[n] != life => {}
+            _ if self.stands_still(n) => self.frozen[n].1.push(event),
             None => self.work(n, life, event),
             Some(_) => self.queue_up(n, life, event),
         }
     }
 
+    fn stands_still(&self, n: usize) -> bool {
+        self.now < self.frozen[n].0
+    }
+
     fn work(&mut self, n: usize, life: u64, event: Event) {
         let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now + n as u64 * 7 };
         let Some(node) = self.nodes[n].as_mut() else { return };
@@ -357,6 +380,7 @@
         match action {
             Action::Reply(id, reply) => match self.askers.remove(&(n, life, id)) {
                 Some(Asker::Worker(name, watch, sent)) => {
+                    self.look_at_token(n, &reply);
                     let reply = (!self.lost()).then(|| Box::new(reply));
                     self.at(at, Ev::Orders(name, watch, sent, reply));
                 }
@@ -427,9 +451,23 @@
         }
     }
 
+    /// Counts answers to reports under a token that is no longer the leader's key.
+    fn look_at_token(&mut self, n: usize, reply: &Reply) {
+        let orders = wire::read::<Orders>(&reply.body).ok().filter(|_| reply.status == 200);
+        let held = self.store.get(keys::LEADER).map(|pair| pair.stamp);
+        let own = self.nodes[n].as_ref().is_some_and(Node::leads);
+        if own && orders.is_some_and(|o| held != Some(o.helm)) {
+            self.stale_answers += 1;
+        }
+    }
+
     fn step(&mut self, ev: Ev) {
         match ev {
             Ev::Tick(n, life) => {
+                if self.stands_still(n) {
+                    let until = self.frozen[n].0;
+                    return self.at(until, Ev::Tick(n, life));
+                }
                 if self.lives[n] == life && self.nodes[n].is_some() {
                     self.handle(n, life, Event::Tick);
                     // A timer that is late fires late again from then on.
@@ -438,6 +476,16 @@
                 }
             }
             Ev::Free(n, life) => self.go_on(n, life),
+            Ev::Freeze(n, until) => {
+                self.frozen[n].0 = until;
+                let life = self.lives[n];
+                self.at(until, Ev::Thaw(n, life));
+            }
+            Ev::Thaw(n, life) => {
+                for event in std::mem::take(&mut self.frozen[n].1) {
+                    self.handle(n, life, event);
+                }
+            }
             Ev::Restart(n) => {
                 self.lives[n] += 1;
                 let now = Now { steady: self.now, wall: 1_700_000_000_000 + self.now };
@@ -454,12 +502,17 @@
             Ev::Crash(n) => {
                 self.nodes[n] = None;
                 self.lives[n] += 1;
-                let at = self.now + self.rng.random_range(2_000..6_000);
+                self.frozen[n] = (0, Vec::new());
+                let pause = self.rng.random_range(2_000..6_000);
+                let at = self.now + self.restart_ms.unwrap_or(pause);
                 self.at(at, Ev::Restart(n));
             }
             Ev::ToNode(n, life, event) => self.handle(n, life, *event),
             Ev::Beat(from, life, to, beat) => {
                 self.handle(to, self.lives[to], Event::Beat(beat));
+                if self.stands_still(to) {
+                    return;
+                }
                 if let Some(ours) = self.nodes[to].as_ref().map(Node::beat) {
                     let at = self.now + self.delay();
                     self.at(at, Ev::ToNode(from, life, Box::new(Event::Beat(ours))));
@@ -489,6 +542,10 @@
                 self.next_request += 1;
                 let (id, life) = (self.next_request, self.lives[to]);
                 self.askers.insert((to, life, id), Asker::Relay(from, from_life, from_id));
+                if self.stands_still(to) {
+                    let event = Box::new(Event::Relayed(from_id, None));
+                    self.at(self.now + 2_500, Ev::ToNode(from, from_life, event));
+                }
                 self.handle(to, life, Event::Batch(id, report));
             }
             Ev::Report(n, report, sent) => {
@@ -501,6 +558,10 @@
                 let id = self.next_request;
                 let asker = Asker::Worker(report.berth.clone(), report.watch, sent);
                 self.askers.insert((n, life, id), asker);
+                if self.stands_still(n) {
+                    let (name, watch) = (report.berth.clone(), report.watch);
+                    self.at(sent + 4_000, Ev::Orders(name, watch, sent, None));
+                }
                 self.handle(n, life, Event::Report(id, report));
             }
             Ev::Orders(name, watch, sent, reply) => {
--- a/crates/standin/src/world/users.rs
+++ b/crates/standin/src/world/users.rs
@@ -140,3 +140,18 @@
         }
     }
 }
+
+/// That no rule was broken, and every job has come to the end that its user wants.
+pub fn assert_over(world: &World, what: &str) {
+    assert!(world.broken.is_empty(), "{what}: {:?}", world.broken);
+    for job in &world.jobs {
+        let last = job.last.as_deref().unwrap_or("no answer");
+        let service = job.text("shape") == "service";
+        let fine = match job.cancel_at {
+            Some(_) => job.over(),
+            None if service => last == "running",
+            None => last == "done",
+        };
+        assert!(fine, "{what}: {} ended as {last}: {}", job.id, world.held(&job.id));
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 use swiftsail_standin::world as standin;
 
-use standin::{Weather, World, job, mixed_load};
+use standin::{Weather, World, assert_over, job, mixed_load};
 use swiftsail_core::node::{Action, Event, Node, Now};
 use swiftsail_wire::controllers::Beat;
 use swiftsail_wire::read;
@@ -11,20 +11,6 @@
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 const ROUGH: Weather = Weather { loss: 0.03, late: 0.01, crashes: 4, outages: 2 };
 
-fn assert_over(world: &World, what: &str) {
-    assert!(world.broken.is_empty(), "{what}: {:?}", world.broken);
-    for job in &world.jobs {
-        let last = job.last.as_deref().unwrap_or("no answer");
-        let service = job.text("shape") == "service";
-        let fine = match job.cancel_at {
-            Some(_) => job.over(),
-            None if service => last == "running",
-            None => last == "done",
-        };
-        assert!(fine, "{what}: {} ended as {last}: {}", job.id, world.held(&job.id));
-    }
-}
-
 #[test]
 fn a_calm_day_runs_everything() {
     let mut world = World::new(1, CALM, 1_000);
