--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -340,6 +340,9 @@
 /// Part of the time within which work of a guarantee is to start that it waits for machines that boot,
 /// before what others run beyond theirs is stopped for it: what is stopped loses its work and needs room too.
 pub const RECLAIM_AFTER: f64 = 0.5;
+/// Time that work finds no room before what runs at the lowest priority is stopped for it, ms: two rounds, in
+/// which a task of some seconds ends by itself.
+pub const YIELD_AFTER_MS: f64 = 4_000.0;
 /// That time where no aim names it, s.
 pub const GUARANTEE_S: f64 = 60.0;
 /// Tasks for which a round makes room at most by stopping what other teams run beyond their guarantee: a
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -37,6 +37,8 @@
     pub due: Option<Time>,
     pub overdue: bool,
     pub left: u32,
+    /// It claims room by its team's guarantee.
+    pub within: bool,
     /// The pass has let its share of tasks join lines: this one's go on with the next.
     pub set_aside: bool,
     pub bad: Vec<MachineId>,
@@ -97,6 +99,10 @@
 
     /// What of a place's room is not kept from it.
     pub fn room_at(&self, place: &Place) -> Room {
+        // Where room is being made, what runs in idle hours does not come back first, a small task at a time.
+        if place.leaving && self.spec.priority == Priority::Low {
+            return Room::default();
+        }
         let mut room = place.room;
         if self.spec.kind != Kind::Service {
             room.take(&place.kept);
@@ -137,6 +143,7 @@
             due: job.due,
             overdue: job.missed,
             left: self.free_tasks(job),
+            within: false,
             set_aside: false,
             bad: job.bad_machines.iter().cloned().collect(),
             capped: false,
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -34,6 +34,8 @@
     pub zone: usize,
     pub spot: bool,
     pub room: Room,
+    /// Tasks there are being stopped.
+    pub leaving: bool,
     /// What of the room is kept for services.
     pub kept: Room,
     /// What of the room is kept for gangs that have left it, with their priority.
@@ -142,6 +144,7 @@
                 zone,
                 spot: machine.spot,
                 room: t.room(),
+                leaving: false,
                 kept: Room::default(),
                 gangs: Vec::new(),
                 end: 0,
@@ -160,6 +163,10 @@
             }
             let room = machine.free().unwrap_or_default();
             place.room = room;
+            place.leaving = machine.tasks.keys().any(|(id, task)| {
+                let attempt = tables.jobs.get(id).and_then(|j| j.attempts.get(task));
+                attempt.is_some_and(|a| a.stop.is_some() && a.occupies())
+            });
             place.gangs = gangs.remove(id).unwrap_or_default();
             place.images = machine.images.iter().filter_map(|i| self.images.get(&i.0)).collect();
             if self.full {
@@ -213,6 +220,7 @@
                 zone: self.zone_number(&wish.zone),
                 spot: wish.spot,
                 room: types[kind].room(),
+                leaving: false,
                 kept: Room::default(),
                 gangs: Vec::new(),
                 end: self.free_at(kind, up),
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -82,20 +82,28 @@
         }
     }
 
-    /// Makes room for work within its team's guarantee that has found none for a while, by stopping what other teams
-    /// run beyond theirs: least work lost first, a bounded number in a round. It waits for that room alone,
-    /// and what it lacks beyond that is mapped as ever.
-    pub fn reclaim(&mut self, choosers: &mut [Chooser]) {
+    /// Makes room for work that has found none for a while, by stopping others': for work `within` its team's
+    /// guarantee what other teams run beyond theirs, and for all but idle-hours work what runs at the lowest
+    /// priority. Least work lost first, a bounded number in a round. It waits for that room alone, and what it
+    /// lacks beyond that is mapped as ever.
+    pub fn reclaim(&mut self, choosers: &mut [Chooser], within: bool) {
         let now = self.view.now;
-        if !self.full || !self.teams.iter().any(TeamRoom::beyond) {
+        let low = |j: &Job| j.spec.priority == Priority::Low && !j.attempts.is_empty();
+        let guests = self.tables.jobs.values().any(low);
+        let borrowed = within && self.teams.iter().any(TeamRoom::beyond);
+        if !self.full || !guests && !borrowed {
             return;
         }
         let aims = self.view.settings.settings.objectives.iter();
-        let within = aims.filter(|o| o.kind == "guarantee").filter_map(|o| o.within_s);
-        let patience = within.fold(GUARANTEE_S, f64::min) * MS_PER_S * RECLAIM_AFTER;
+        let asked = aims.filter(|o| o.kind == "guarantee").filter_map(|o| o.within_s);
+        // What runs in idle hours gives its room up at once; what was lent may first be found elsewhere.
+        let lent = asked.fold(GUARANTEE_S, f64::min) * MS_PER_S * RECLAIM_AFTER;
+        let patience = if guests { YIELD_AFTER_MS.min(lent) } else { lent };
         let mut most = RECLAIM_MOST;
-        for c in choosers.iter_mut().filter(|c| !c.is_service() && c.left > 0) {
+        let claims = |c: &&mut Chooser| c.spec.priority > Priority::Low && !c.is_service();
+        for c in choosers.iter_mut().filter(claims).filter(|c| c.left > 0) {
             let waits = self.tables.jobs.get(&c.id).map_or(0, |j| now.saturating_sub(j.known_at));
+            c.within = within && waits as f64 >= lent;
             let lately =
                 self.tables.preempting.get(&c.id).is_some_and(|(at, _)| now < at + PREEMPT_WAIT_MS);
             let each = Room::of(&c.spec);
@@ -109,7 +117,7 @@
             let (mut made, mut stopped): (f64, Tasks) = (0.0, Vec::new());
             let mut rooms = 0;
             while rooms < lacks.min(most)
-                && self.teams_guarantee(c, rooms + 1)
+                && self.may_claim(c, rooms + 1)
                 && let Some((fetch, zone, victims)) = self.victims(c, f64::MAX)
             {
                 made = made.max(fetch);
@@ -126,21 +134,24 @@
         }
     }
 
-    /// Whether so many more tasks of a chooser stay within its team's guarantee.
-    fn teams_guarantee(&self, c: &Chooser, tasks: u32) -> bool {
+    /// Whether so many more tasks of a chooser stay within its team's limit, and within its guarantee if that
+    /// is what it claims by.
+    fn may_claim(&self, c: &Chooser, tasks: u32) -> bool {
         let more = amounts_of(&c.spec).times(tasks);
-        c.team.is_some_and(|t| self.teams[t].guaranteed(more) && self.teams[t].allows(more))
+        let guaranteed = |t: usize| !c.within || self.teams[t].guaranteed(more);
+        c.team.is_some_and(|t| guaranteed(t) && self.teams[t].allows(more))
     }
 
-    /// Whether a task may be stopped for a chooser's: for a replica if it is of lower priority, for other work
-    /// if its team is beyond its guarantee, and remains so without it.
+    /// Whether a task may be stopped for a chooser's: for a replica if it is of lower priority; for other work
+    /// if it is of the lowest, or if its team is beyond its guarantee, and remains so without it.
     fn may_stop(&self, c: &Chooser, v: &Victim) -> bool {
         let borrowed = || {
             let beyond = v.team.filter(|t| Some(*t) != c.team).map(|t| &self.teams[t]);
             beyond.is_some_and(|t| t.beyond_without(Amounts::need(v.size.cpus, v.size.gpus)))
         };
-        v.priority < c.spec.priority && c.is_service()
-            || !c.is_service() && v.priority <= c.spec.priority && borrowed()
+        let lower = v.priority < c.spec.priority;
+        lower && (c.is_service() || v.priority == Priority::Low)
+            || !c.is_service() && c.within && v.priority <= c.spec.priority && borrowed()
     }
 
     /// How soon a replica should run, ms, before others are stopped for it: as its class's aim
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -159,6 +159,7 @@
             zone,
             spot,
             room: self.types[kind].room(),
+            leaving: false,
             kept: Room::default(),
             gangs: Vec::new(),
             end,
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -241,9 +241,7 @@
                 self.place_gang(&mut gang);
             }
             self.preempt(&mut others);
-            if !beyond {
-                self.reclaim(&mut others);
-            }
+            self.reclaim(&mut others, !beyond);
             self.map(&mut others, true);
             others.iter_mut().for_each(Chooser::rest);
             rest.extend(others.into_iter().filter(|c| c.left > 0 && !c.set_aside));
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use swiftsail_core::node::Node;
-use swiftsail_standin::world::{Weather, World, assert_over, mixed_load};
+use swiftsail_standin::world::{Weather, World, assert_over, job, mixed_load};
 
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 
@@ -106,3 +106,25 @@
         }
     }
 }
+
+/// Idle-hours work fills every machine with small tasks; work that others want done finds its room at once.
+#[test]
+fn guests_give_their_room_up_at_once() {
+    let mut world = World::sized(3, CALM, 400_000, 1);
+    let mut guest = job("wk-g1", "array", "blue", 400, 0.25, 300.0);
+    guest["rank"] = "low".into();
+    guest["due_s"] = serde_json::Value::Null;
+    world.submit(500, None, guest);
+    world.run(60_000);
+    let runs = |world: &World, id: &str| {
+        let tasks = world.plant.workers.values().filter(|w| !w.gone).flat_map(|w| &w.tasks);
+        tasks.filter(|t| t.on_machine() && t.name.starts_with(id)).count()
+    };
+    let before = runs(&world, "wk-g1");
+    assert!(before >= 250, "the guest has {before}");
+    world.submit(60_000, None, job("wk-a1", "array", "blue", 6, 3.0, 20.0));
+    world.run(75_000);
+    assert_eq!(runs(&world, "wk-a1"), 6, "beside {} of the guest's", runs(&world, "wk-g1"));
+    assert!(runs(&world, "wk-g1") + 6 * 12 + 24 >= before, "no more is stopped than is needed");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
