--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -18,6 +18,13 @@
 pub const CAMPAIGN_JITTER_MS: u64 = 150;
 /// Pause after a campaign that failed, ms.
 pub const CAMPAIGN_RETRY_MS: u64 = 500;
+/// Time for which a leader that gave up its lead, since it reached nobody, does not ask for it again, ms: others
+/// take it at once if they can. Doubled each time ...
+pub const RESIGN_MS: u64 = 15_000;
+/// ... up to this.
+pub const RESIGN_MOST_MS: u64 = 120_000;
+/// Machines that should be heard for their silence to say something of the leader.
+pub const RESIGN_MACHINES: usize = 3;
 /// Time between heartbeats to the other controllers, ms.
 pub const BEAT_MS: u64 = 500;
 /// A heartbeat older than this, ms, vouches for nothing.
@@ -247,8 +254,16 @@
 pub const MOVE_FETCH_MS: f64 = 2_500.0;
 /// Errors of different jobs on one machine, without a success between, that make it suspect.
 pub const SUSPECT_JOBS: usize = 2;
-/// Machines on which a job must fail before the job itself is suspected.
-pub const FAULTY_JOB_MACHINES: usize = 3;
+/// The same where none of those jobs has ever succeeded: they may be mistaken themselves.
+pub const SUSPECT_NEW_JOBS: usize = 3;
+/// Machines on which a job must fail, and never succeed, to be held to be mistaken.
+pub const MISTAKEN_MACHINES: usize = 3;
+/// Pause before such a job is tried again, ms, doubled with each try that fails.
+pub const MISTAKEN_MS: u64 = 5_000;
+/// Longest such pause, ms.
+pub const MISTAKEN_MOST_MS: u64 = 60_000;
+/// Tasks of it that are tried at once.
+pub const MISTAKEN_TASKS: usize = 2;
 /// Pause of a (type, zone, kind) after "no capacity", ms, doubled each time.
 pub const NO_CAPACITY_MS: u64 = 8_000;
 /// Longest such pause, ms.
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs and their tasks: what was asked for, which attempt is where, and what the store holds.
 
 mod record;
+mod trust;
 
 pub use record::{
     Bound, Chunk, Ending, FinalRecord, JobRecord, StoredJob, chunk_key, chunk_size, keys,
@@ -13,6 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use swiftsail_wire::workers::Cause;
+pub use trust::Trust;
 
 /// A job's id.
 pub type JobId = Arc<str>;
@@ -204,6 +206,7 @@
     pub flight: Option<Flight>,
     /// Machines on which a task of it failed.
     pub bad_machines: VecDeque<MachineId>,
+    trust: Trust,
     muster: Muster,
     /// Gang: the machines that its tasks have left, where its image is, and when. Their room is kept
     /// for it for a while.
@@ -240,6 +243,7 @@
             chunk_upto: BTreeMap::new(),
             flight: None,
             bad_machines: VecDeque::new(),
+            trust: Trust::New,
             muster: Muster::Whole,
             left: BTreeMap::new(),
             missed: false,
@@ -426,6 +430,7 @@
             self.held.remove(&task);
             self.waiting.insert(task);
         }
+        self.ration(now);
     }
 
     /// Remembers a machine as bad for this job.
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -23,6 +23,8 @@
     Grant { era: u64, asked: Time },
     /// Write the leader's key.
     Acquire { era: u64 },
+    /// Give the lease back.
+    Release,
     /// Extend the lease.
     Extend { era: u64, asked: Time },
     /// Read the machine types.
@@ -121,7 +123,7 @@
                     self.know_types(&types);
                 }
             }
-            Purpose::WriteTypes { .. } | Purpose::Sweep { .. } => {}
+            Purpose::WriteTypes { .. } | Purpose::Sweep { .. } | Purpose::Release => {}
             Purpose::Retire { jobs, .. } => self.on_retired(jobs, &end.outcome),
             Purpose::ReadNews | Purpose::ListMirror => self.on_mirror(&end.outcome),
             ref load @ (Purpose::LoadJobs { era }
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -50,7 +50,8 @@
                 if matches!(self.term.phase(), Phase::Unknown | Phase::Following) {
                     let wait = self.rng.random_range(0..=CAMPAIGN_JITTER_MS);
                     self.term.leader = None;
-                    self.term.advance(Phase::Vacant(self.now.steady + wait));
+                    let at = (self.now.steady + wait).max(self.reach.back_at);
+                    self.term.advance(Phase::Vacant(at));
                 }
             }
             Some((record, stamp)) => {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -26,6 +26,7 @@
 mod passes;
 mod peers;
 mod plugins;
+mod reach;
 mod relay;
 mod requests;
 mod standstill;
@@ -54,6 +55,7 @@
 use plugins::Plugins;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use reach::Reach;
 use relay::Relays;
 use requests::Requests;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -230,6 +232,7 @@
     passed: HashMap<String, Passed>,
     held_reports: Vec<(RequestId, Box<Report>)>,
     relays: Relays,
+    reach: Reach,
     desk: Desk,
     /// Workers by the controller that they report to, this one under its own name.
     loads: BTreeMap<Arc<str>, usize>,
@@ -295,6 +298,7 @@
             passed: HashMap::new(),
             held_reports: Vec::new(),
             relays: Relays::default(),
+            reach: Reach::default(),
             desk: Desk::new(
                 operator.amounts.durable,
                 &settings.host_name,
@@ -423,6 +427,7 @@
 
     /// A leader's part of a timer step.
     fn lead(&mut self) {
+        self.weigh_reach();
         if let Some(leader) = &mut self.leader {
             self.direct.extend(leader.stops(self.now.steady));
         }
--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -275,6 +275,7 @@
         }
         let (now, from): (Time, Arc<str>) = (self.now.steady, batch.node.as_str().into());
         let types = self.types.clone().unwrap_or_default();
+        self.reach.heard(now);
         let Some(leader) = &mut self.leader else { return };
         let mut answers = Answers { helm: leader.token, ..Answers::default() };
         let mut look: BTreeSet<String> =
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -61,11 +61,13 @@
         let free: f64 = ready.clone().filter_map(|m| m.free()).map(|r| r.cpus).sum();
         let ready = ready.count();
         let late = leader.jobs.values().filter(|j| j.missed).count();
+        let mistaken = leader.jobs.values().filter(|j| j.mistaken()).count();
         let machines = leader.machines.len();
         let queued = self.store.queued();
         tracing::info!(
             jobs = leader.jobs.len(),
             late,
+            mistaken,
             waiting,
             lined,
             held,
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -40,6 +40,7 @@
             elsewhere
         } else if let Some(leader) = &mut self.leader {
             let types = self.types.as_deref().map_or(&[][..], Vec::as_slice);
+            self.reach.heard(self.now.steady);
             let orders = leader.on_report(&report, Source::Report, self.now.steady, types);
             if let Some(machine) = leader.machines.get_mut(report.berth.as_str()) {
                 (machine.via, machine.shown) = (None, None);
@@ -107,6 +108,7 @@
         }
         if let Some(leader) = &mut self.leader {
             let types = self.types.as_deref().map_or(&[][..], Vec::as_slice);
+            self.reach.heard(self.now.steady);
             leader.on_report(report, Source::Answer, self.now.steady, types);
         }
         self.end_jobs();
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -29,6 +29,8 @@
     },
     /// Extend a lease.
     Extend(u64),
+    /// End a lease at once.
+    Release(u64),
     /// Read what has changed, without waiting.
     News {
         /// Prefix.
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -305,6 +305,42 @@
         }
     }
 
+    /// A task has failed by itself: its job or its machine is to blame.
+    fn weigh_failure(&mut self, id: &JobId, machine_id: &MachineId, now: Time) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if !job.mistaken() {
+            job.blame(machine_id);
+        }
+        if job.failed(now) {
+            // No healthy machine is shunned for it, and it shuns none.
+            let blamed = std::mem::take(&mut job.bad_machines);
+            tracing::warn!(job = %id, machines = blamed.len(), "a job fails on every machine: it is tried now and then");
+            self.happenings.note("job", "mistaken", id, None);
+            self.lines.drop_job(id);
+            for name in &blamed {
+                let Some(machine) = self.machines.get_mut(name) else { continue };
+                machine.errors.remove(id);
+                machine.suspect &= machine.errors.len() >= SUSPECT_JOBS;
+            }
+            return;
+        }
+        if job.mistaken() {
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(machine_id) else { return };
+        machine.errors.insert(id.clone());
+        let proven = |id: &JobId| self.jobs.get(id).is_some_and(|j| j.trust() == Trust::Proven);
+        let enough = match machine.errors.iter().any(proven) {
+            true => SUSPECT_JOBS,
+            false => SUSPECT_NEW_JOBS,
+        };
+        if machine.errors.len() >= enough && !machine.suspect {
+            machine.suspect = true;
+            self.happenings.note("machine", "suspected", machine_id, None);
+            tracing::warn!(machine = %machine_id, "machine suspected: tasks of several jobs fail on it");
+        }
+    }
+
     /// An attempt has exited.
     fn on_exit(&mut self, id: &JobId, task: u32, cause: Cause, now: Time) {
         let Some(job) = self.jobs.get_mut(id) else { return };
@@ -319,6 +355,7 @@
         self.happenings.note("task", what, join_task(id, task), Some(&machine_id));
         if cause == Cause::Done {
             job.touch(task, now);
+            job.succeeded();
             if let Some(machine) = self.machines.get_mut(&machine_id) {
                 machine.errors.clear();
                 if let Some(ran) = ran {
@@ -334,18 +371,7 @@
             Cause::Error | Cause::NoSuch | Cause::Other | Cause::NoRoom | Cause::InUse
         );
         if matches!(cause, Cause::Error | Cause::Other) {
-            job.blame(&machine_id);
-            let faulty_job = job.bad_machines.len() >= FAULTY_JOB_MACHINES;
-            if let Some(machine) = self.machines.get_mut(&machine_id)
-                && !faulty_job
-            {
-                machine.errors.insert(id.clone());
-                if machine.errors.len() >= SUSPECT_JOBS && !machine.suspect {
-                    machine.suspect = true;
-                    self.happenings.note("machine", "suspected", &machine_id, None);
-                    tracing::warn!(machine = %machine_id, "machine suspected: tasks of several jobs fail on it");
-                }
-            }
+            self.weigh_failure(id, &machine_id, now);
         }
         self.release(id, task, now);
         if failed && let Some(job) = self.jobs.get_mut(id) {
--- a/crates/standin/src/plant.rs
+++ b/crates/standin/src/plant.rs
@@ -46,6 +46,10 @@
     speed: f64,
     rng: StdRng,
     at: BTreeMap<String, u64>,
+    /// Jobs submitted with a mistake: their tasks fail on every machine.
+    pub mistaken: BTreeSet<String>,
+    /// Tasks that have failed so far, by job.
+    pub failed: BTreeMap<String, u64>,
     /// Starts of tasks so far.
     pub started: u64,
     /// When each task was first on its machine.
@@ -75,6 +79,8 @@
             loads: BTreeMap::new(),
             done: BTreeSet::new(),
             stopping: BTreeMap::new(),
+            mistaken: BTreeSet::new(),
+            failed: BTreeMap::new(),
             platform,
             nodes,
             speed,
@@ -247,7 +253,9 @@
             let mut progress = task.progress;
             let next = match stage {
                 Stage::Fetching if !here => stage,
-                Stage::Fetching if worker.faulty => Stage::Exited(Cause::Error, false),
+                Stage::Fetching if worker.faulty || self.mistaken.contains(task.job()) => {
+                    Stage::Exited(Cause::Error, false)
+                }
                 _ if over => Stage::Exited(Cause::Done, false),
                 Stage::Fetching if gang => Stage::Gathering(now),
                 Stage::Fetching => {
@@ -325,6 +333,7 @@
             self.first_run.entry(full.clone()).or_insert(now);
         }
         match stage {
+            Stage::Exited(Cause::Error, _) => *self.failed.entry(job).or_default() += 1,
             Stage::Exited(Cause::Done, _) => {
                 self.done.insert(full);
             }
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -138,6 +138,23 @@
     pub outages: u32,
 }
 
+/// A part of the network that is gone for a controller, for a time.
+#[derive(Debug, Clone, Copy)]
+pub struct Cut {
+    /// The controller.
+    pub node: usize,
+    /// From the beginning, ms.
+    pub from_ms: u64,
+    /// For so long, ms.
+    pub for_ms: u64,
+    /// It is without the workers.
+    pub workers: bool,
+    /// It is without the other controllers.
+    pub peers: bool,
+    /// It is without the state service, which refuses it.
+    pub store: bool,
+}
+
 /// The world.
 pub struct World {
     pub now: u64,
@@ -164,6 +181,8 @@
     /// Share of a core that every node has, if its work is to take time.
     pub cores: Option<f64>,
     processors: [Processor; NODES],
+    /// Parts of the network that are gone, some time.
+    pub cuts: Vec<Cut>,
     /// Until when a node stands still, and what has come for it meanwhile.
     frozen: [(u64, Vec<Event>); NODES],
     /// Time after which an ended controller is started again, ms; none: some seconds.
@@ -219,6 +238,7 @@
             delivered: Vec::new(),
             cores: None,
             processors: Default::default(),
+            cuts: Vec::new(),
             frozen: Default::default(),
             restart_ms: None,
             stale_answers: 0,
@@ -356,6 +376,18 @@
         }
     }
 
+    /// Whether a controller is without a part of the network now.
+    fn cut(&self, n: usize, part: impl Fn(&Cut) -> bool) -> bool {
+        let now = self.now - BEGIN;
+        let its = |c: &&Cut| c.node == n && (c.from_ms..c.from_ms + c.for_ms).contains(&now);
+        self.cuts.iter().filter(its).any(part)
+    }
+
+    /// Whether two controllers do not reach each other now.
+    fn apart(&self, a: usize, b: usize) -> bool {
+        self.cut(a, |c| c.peers) || self.cut(b, |c| c.peers)
+    }
+
     fn stands_still(&self, n: usize) -> bool {
         self.now < self.frozen[n].0
     }
@@ -402,7 +434,7 @@
             Action::Store(id, call) => self.at(at, Ev::StoreCall(n, life, id, call)),
             Action::Cloud(call) => self.at(at + 100, Ev::CloudCall(n, life, Box::new(call))),
             Action::Direct(addr, direct) => {
-                if !self.lost() {
+                if !self.lost() && !self.cut(n, |c| c.workers) {
                     self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
                 }
             }
@@ -412,7 +444,7 @@
                 let probe = if mute { Probe::Mute } else { Probe::Silent };
                 let message = Direct { helm: 0, watch: 0, orders: Vec::new() };
                 let now = self.now;
-                let report = if mute || self.lost() {
+                let report = if mute || self.lost() || self.cut(n, |c| c.workers) {
                     None
                 } else {
                     self.plant.direct(&addr, &message, now)
@@ -427,7 +459,7 @@
             }
             Action::Relay(id, leader, report) => {
                 let other = leader.trim_start_matches('n').parse().unwrap_or(0);
-                if self.lost() {
+                if self.lost() || self.apart(n, other) {
                     let event = Box::new(Event::Relayed(id, None));
                     return self.at(self.now + 2_500, Ev::ToNode(n, life, event));
                 }
@@ -443,7 +475,7 @@
             }
             Action::Beat(beat) => {
                 for other in (0..NODES).filter(|o| *o != n) {
-                    if !self.lost() {
+                    if !self.lost() && !self.apart(n, other) {
                         self.at(at, Ev::Beat(n, life, other, beat.clone()));
                     }
                 }
@@ -550,7 +582,7 @@
             }
             Ev::Report(n, report, sent) => {
                 let life = self.lives[n];
-                if self.nodes[n].is_none() {
+                if self.nodes[n].is_none() || self.cut(n, |c| c.workers) {
                     let (name, watch) = (report.berth.clone(), report.watch);
                     return self.at(self.now + 1, Ev::Orders(name, watch, sent, None));
                 }
@@ -591,7 +623,7 @@
     }
 
     fn store_call(&mut self, n: usize, life: u64, id: u64, call: Call) {
-        let away = self.store_away();
+        let away = self.store_away() || self.cut(n, |c| c.store) && life != 0;
         if let Call::Follow { prefix, from } = &call {
             self.follows.push((n, life, id, prefix.clone(), *from, self.now + 10_000));
             return self.wake_follows();
@@ -646,6 +678,10 @@
             },
             Call::Extend(id) if self.store.extend(*id, now) => Outcome::Granted(*id),
             Call::Extend(_) => Outcome::NoGrant,
+            Call::Release(id) => {
+                self.store.end_grant(*id);
+                Outcome::Granted(*id)
+            }
             Call::News { prefix, from } => match self.store.news(prefix, *from) {
                 Err(TooOld) => Outcome::TooOld,
                 Ok(news) => Outcome::News(news.unwrap_or_else(|| self.store.no_news())),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -309,6 +309,7 @@
             let body = write(&HashMap::<String, u64>::new());
             send(client.post(url(rest)), Some(body)).await
         }
+        Call::Release(id) => send(client.delete(url(format!("{}/{id}", path::GRANTS))), None).await,
         Call::News { prefix, from } => {
             let rest = format!("{}?starts={prefix}&from={from}&block_ms=0", path::FOLLOW);
             send(client.get(url(rest)), None).await
@@ -332,9 +333,9 @@
         (200, Call::Grant { .. }) => {
             read_as(&bytes, |g: state_wire::Granted| Outcome::Granted(g.mooring))
         }
-        (200, Call::Extend(id)) => Outcome::Granted(*id),
+        (200, Call::Extend(id) | Call::Release(id)) => Outcome::Granted(*id),
         (200, Call::Follow { .. } | Call::News { .. }) => read_as(&bytes, Outcome::News),
-        (404, Call::Extend(_)) => Outcome::NoGrant,
+        (404, Call::Extend(_) | Call::Release(_)) => Outcome::NoGrant,
         (404, _) => Outcome::Missing { epoch: 0 },
         (409, _) => read_as(&bytes, |c: state_wire::Committed| Outcome::Conflict(c.failed)),
         (410, _) => Outcome::TooOld,
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use swiftsail_core::node::Node;
-use swiftsail_standin::world::{Weather, World, assert_over, job, mixed_load};
+use swiftsail_standin::world::{Cut, Weather, World, assert_over, job, mixed_load};
 
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 
@@ -128,3 +128,109 @@
     assert!(runs(&world, "wk-g1") + 6 * 12 + 24 >= before, "no more is stopped than is needed");
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// Jobs submitted with a mistake beside machines that fail everything: the jobs are tried within a budget,
+/// their team's other jobs run, no healthy machine is given up, and the faulty ones are.
+#[test]
+fn jobs_with_a_mistake_are_told_from_faulty_machines() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, CALM, 400_000);
+        for n in 0..4 {
+            let id = format!("wk-m{n}");
+            world.plant.mistaken.insert(id.clone());
+            world.submit(1_000 + n * 3_000, None, job(&id, "array", "blue", 40, 1.0, 20.0));
+            let id = format!("wk-a{n}");
+            world.submit(2_000 + n * 9_000, None, job(&id, "array", "blue", 12, 1.0, 8.0));
+            let id = format!("wk-g{n}");
+            world.plant.mistaken.insert(id.clone());
+            world.submit(4_000 + n * 5_000, Some(200_000), job(&id, "gang", "blue", 2, 2.0, 9.0));
+        }
+        world.run(40_000);
+        let bad: Vec<String> = match seed % 2 {
+            0 => Vec::new(),
+            _ => {
+                world.plant.spoil(2, 40_000 + swiftsail_standin::world::BEGIN);
+                let workers = world.plant.workers.iter();
+                workers.filter(|(_, w)| w.faulty).map(|(name, _)| name.clone()).collect()
+            }
+        };
+        let last = job("wk-z", "array", "blue", 40, 1.0, 8.0);
+        world.submit(42_000, None, last);
+        world.run(190_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        for (id, tries) in &world.plant.failed {
+            // Three machines, then two tasks at a time with pauses of 5 to 60 s; a wave that had begun.
+            let most = if world.plant.mistaken.contains(id) { 60 } else { 20 };
+            assert!(*tries <= most, "seed {seed}: {id} failed {tries} times");
+        }
+        let done = |id: &str| world.jobs.iter().any(|j| j.id == id && j.over());
+        assert!((0..4).all(|n| done(&format!("wk-a{n}"))) && done("wk-z"), "seed {seed}");
+        let tables = world.nodes.iter().flatten().find_map(Node::tables).expect("a leader");
+        let wrong =
+            tables.machines.values().filter(|m| m.suspect && !bad.contains(&m.id.to_string()));
+        assert_eq!(wrong.count(), 0, "seed {seed}: a healthy machine is shunned");
+        let kept = bad.iter().filter(|name| {
+            tables.machines.get(name.as_str()).is_some_and(|m| !m.suspect && !m.tasks.is_empty())
+        });
+        assert_eq!(kept.count(), 0, "seed {seed}: a faulty machine is trusted");
+    }
+}
+
+fn cut(node: usize, from_ms: u64, for_ms: u64, parts: [bool; 3]) -> Cut {
+    let [workers, peers, store] = parts;
+    Cut { node, from_ms, for_ms, workers, peers, store }
+}
+
+/// A leader that the state service still hears but nobody else gives the lead to one that reaches the
+/// workers, before their leases end, and does not take it back meanwhile.
+#[test]
+fn a_leader_that_reaches_nobody_gives_the_lead_away() {
+    for seed in 0..4 {
+        let mut world = World::new(seed, CALM, 120_000);
+        mixed_load(&mut world, 4);
+        world.run(20_000);
+        let before = leader(&world).expect("somebody leads");
+        world.cuts.push(cut(before, 20_000, 60_000, [true, true, false]));
+        let mut leaders = Vec::new();
+        for at in 21..80 {
+            world.run(at * 1_000);
+            leaders.extend(leader(&world));
+        }
+        leaders.dedup();
+        assert!(leaders.len() <= 2 && leaders.last() != Some(&before), "seed {seed}: {leaders:?}");
+        let killed: u64 = world.plant.workers.values().map(|w| w.killed).sum();
+        assert_eq!(killed, 0, "seed {seed}: tasks lost to their lease");
+        world.run(300_000);
+        assert_over(&world, &format!("seed {seed}"));
+    }
+}
+
+/// Every part of the network gone for a controller, alone and together with standstills and ends that are
+/// over at once: no rule is broken, and everything ends.
+#[test]
+fn parts_of_the_network_gone_and_all_else() {
+    for seed in 0..10 {
+        let mut rng = StdRng::seed_from_u64(seed + 100);
+        let weather = Weather { loss: 0.01, late: 0.01, crashes: 3, outages: 1 };
+        let mut world = World::new(seed, weather, 120_000);
+        world.restart_ms = (seed % 2 == 0).then_some(200);
+        mixed_load(&mut world, 6);
+        world.plant.mistaken.insert("wk-a5".into());
+        for _ in 0..8 {
+            let parts = [rng.random_bool(0.5), rng.random_bool(0.5), rng.random_bool(0.5)];
+            let for_ms = rng.random_range(2_000..45_000);
+            let node = rng.random_range(0..3);
+            world.cuts.push(cut(node, rng.random_range(3_000..90_000), for_ms, parts));
+        }
+        for _ in 0..3 {
+            let for_ms = rng.random_range(1_000..30_000);
+            world.freeze(rng.random_range(3_000..90_000), rng.random_range(0..3), for_ms);
+        }
+        world.run(400_000);
+        let own: Vec<_> = world.jobs.iter().filter(|j| j.id != "wk-a5").collect();
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        let unfinished = own.iter().filter(|j| j.text("shape") != "service" && !j.over());
+        let names: Vec<&str> = unfinished.map(|j| j.id.as_str()).collect();
+        assert!(names.is_empty(), "seed {seed}: {names:?}");
+    }
+}
