--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -173,6 +173,8 @@
 /// A write of so many sheets is followed by a rest of this many times as long as they take of the changes
 /// a second that the leader may make.
 pub const LEDGER_PART: f64 = 2.0;
+/// The same while users and ends wait for changes of theirs.
+pub const LEDGER_PART_BUSY: f64 = 4.0;
 /// Chunks of a job written with one transaction: more would take a second's changes at once.
 pub const FOLDS_AT_ONCE: usize = 4;
 /// Ends of jobs that wait for the store's budget at once: those that come later are told by priority, not
@@ -183,8 +185,11 @@
 /// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
 pub const LEDGER_MOST: usize = 4_000;
 /// Bindings that stay on the sheets until their tasks end; the oldest beyond are taken over by chunks: some
-/// eleven sheets, which a new leader reads at once.
-pub const LEDGER_KEPT: usize = 1_000;
+/// twelve sheets, which a new leader reads at once.
+pub const LEDGER_KEPT: usize = 2_000;
+/// Bindings on the sheets beyond which work of the lowest priority binds no more: what has ended and waits for
+/// its commit is among them, and a guest's array of short tasks ends faster than that can be committed.
+pub const LEDGER_LOW: usize = 2_800;
 /// Exits of a job that wait for their commit from which on its chunks are written with users' work and not
 /// after it.
 pub const FOLD_PRESSING: usize = 32;
@@ -358,6 +363,11 @@
 /// Time that work finds no room before what runs at the lowest priority is stopped for it, ms: two rounds, in
 /// which a task of some seconds ends by itself.
 pub const YIELD_AFTER_MS: f64 = 4_000.0;
+/// What such a task has left to run for it to be stopped, ms: what ends sooner is waited for, and nothing
+/// else of the lowest priority takes its room meanwhile.
+pub const YIELD_LEFT_MS: f64 = 10_000.0;
+/// Time for which that room is kept from it, ms: until the round after next.
+pub const YIELD_HOLD_MS: u64 = 5_000;
 /// That time where no aim names it, s.
 pub const GUARANTEE_S: f64 = 60.0;
 /// Tasks for which a round makes room at most by stopping what other teams run beyond their guarantee: a
--- a/crates/core/src/node/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -107,7 +107,9 @@
         }
         // Half of the changes that this node may make are for users, ends and chunks.
         let rate = ctx.store.write_rate();
-        let rest = passage.sheets.len() as f64 * LEDGER_PART * MS_PER_S / rate;
+        let busy = ctx.store.queued()[Urgency::Work as usize] >= ENDS_QUEUED;
+        let part = if busy { LEDGER_PART_BUSY } else { LEDGER_PART };
+        let rest = passage.sheets.len() as f64 * part * MS_PER_S / rate;
         self.ledger.rests_until = now + (rest as u64).max(LEDGER_MS);
         for (id, task, launch) in over {
             self.ledger.forget(&id, task, Some(launch));
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -291,6 +291,11 @@
                 }
                 tables.preempting.insert(by, (view.now, fetch_ms));
             }
+            Step::Hold(machines) => {
+                tables.yielding.retain(|_, until| view.now < *until);
+                let until = view.now + YIELD_HOLD_MS;
+                tables.yielding.extend(machines.into_iter().map(|id| (id, until)));
+            }
             Step::Release { by, victims } => {
                 tracing::info!(job = %by, tasks = victims.len(), "stopped: the team's limit leaves a service nothing");
                 for (id, task) in victims {
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -163,10 +163,12 @@
             }
             let room = machine.free().unwrap_or_default();
             place.room = room;
-            place.leaving = machine.tasks.keys().any(|(id, task)| {
-                let attempt = tables.jobs.get(id).and_then(|j| j.attempts.get(task));
-                attempt.is_some_and(|a| a.stop.is_some() && a.occupies())
-            });
+            let held = tables.yielding.get(id).is_some_and(|until| now < *until);
+            place.leaving = held
+                || machine.tasks.keys().any(|(id, task)| {
+                    let attempt = tables.jobs.get(id).and_then(|j| j.attempts.get(task));
+                    attempt.is_some_and(|a| a.stop.is_some() && a.occupies())
+                });
             place.gangs = gangs.remove(id).unwrap_or_default();
             place.images = machine.images.iter().filter_map(|i| self.images.get(&i.0)).collect();
             if self.full {
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -33,6 +33,8 @@
     size: Room,
     priority: Priority,
     team: Option<usize>,
+    /// It ends soon by itself, as far as can be told.
+    ends: bool,
 }
 
 impl Round<'_> {
@@ -126,6 +128,7 @@
                 stopped.extend(victims);
             }
             most -= rooms;
+            self.hold_for(c, lacks - rooms);
             if rooms > 0 {
                 c.left -= if c.spec.kind == Kind::Gang { 0 } else { rooms };
                 let by = c.id.clone();
@@ -134,6 +137,32 @@
         }
     }
 
+    /// Where tasks of the lowest priority end by themselves, their room is kept for a chooser's tasks: a small
+    /// task at a time would else take it for ever.
+    fn hold_for(&mut self, c: &Chooser, mut tasks: u32) {
+        let each = Room::of(&c.spec);
+        let mut held = Vec::new();
+        for m in self.candidates.iter().flatten() {
+            if tasks == 0 {
+                break;
+            }
+            if !c.may_use(m.kind, m.zone, m.spot, &self.zones) || c.bad.contains(&m.machine) {
+                continue;
+            }
+            let mut room = m.room;
+            let low = m.tasks.iter().filter(|v| v.priority == Priority::Low && v.ends);
+            low.for_each(|v| room.give(&v.size));
+            let fits = room.fits(&each);
+            if fits > m.room.fits(&each) {
+                tasks = tasks.saturating_sub(fits);
+                held.push(m.machine.clone());
+            }
+        }
+        if !held.is_empty() {
+            self.out.steps.push(Step::Hold(held));
+        }
+    }
+
     /// Whether so many more tasks of a chooser stay within its team's limit, and within its guarantee if that
     /// is what it claims by.
     fn may_claim(&self, c: &Chooser, tasks: u32) -> bool {
@@ -150,7 +179,7 @@
             beyond.is_some_and(|t| t.beyond_without(Amounts::need(v.size.cpus, v.size.gpus)))
         };
         let lower = v.priority < c.spec.priority;
-        lower && (c.is_service() || v.priority == Priority::Low)
+        lower && (c.is_service() || v.priority == Priority::Low && !v.ends)
             || !c.is_service() && c.within && v.priority <= c.spec.priority && borrowed()
     }
 
@@ -184,10 +213,14 @@
                 leaving |= attempt.stop.is_some();
                 if job.spec.kind == Kind::Array {
                     let lost = attempt.ran_at.map_or(0, |at| now.saturating_sub(at));
+                    let low = job.spec.priority == Priority::Low;
+                    let run = || self.tables.history.run_time(id, &job.spec, &machine.kind).mean();
+                    let ends = low && run() - (lost as f64) < YIELD_LEFT_MS;
                     tasks.push(Victim {
                         lost,
                         job: id.clone(),
                         task: *task,
+                        ends,
                         size: Room::of(&job.spec),
                         priority: job.spec.priority,
                         team: self
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -53,6 +53,8 @@
         /// What is stopped.
         victims: Vec<(JobId, u32)>,
     },
+    /// Keep what such machines have free from work of the lowest priority for a while: others wait for it.
+    Hold(Vec<MachineId>),
     /// Stop tasks of lower priority of the same team, whose limit leaves a service nothing.
     Release {
         /// The service.
@@ -286,7 +288,8 @@
 
     /// Plans to bind a task. False if the ledger has no room for it.
     pub fn bind(&mut self, c: &Chooser, machine: MachineId) -> bool {
-        if self.binds >= self.tables.ledger.room() {
+        let most = if c.spec.priority == Priority::Low { LEDGER_LOW } else { LEDGER_MOST };
+        if self.tables.ledger.len() + self.binds >= most {
             return false;
         }
         self.out.steps.push(Step::Bind(c.id.clone(), machine));
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -57,6 +57,8 @@
     pub round_at: Time,
     /// Services for which room is being made: since when, and the fetch they will need there, ms.
     pub preempting: HashMap<JobId, (Time, f64)>,
+    /// Machines whose room is kept from work of the lowest priority, and until when.
+    pub yielding: HashMap<MachineId, Time>,
     /// Something changed that a pass may use.
     pub stir: bool,
     launches: u64,
@@ -116,6 +118,7 @@
             passed_at: 0,
             round_at: now,
             preempting: HashMap::new(),
+            yielding: HashMap::new(),
             stir: true,
             launches: 0,
             nonce: 0,
