--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -285,6 +285,10 @@
 pub const SILENT_ZONE_LEAST: u32 = 5;
 /// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
 pub const RENT_WAIT_MS: f64 = 120_000.0;
+/// Longest time for which work of the lowest priority waits for idle room before machines are rented for it, ms.
+pub const RENT_LOW_MS: u64 = 120_000;
+/// Part of the time in which it is wanted that it waits so.
+pub const RENT_LOW_PART: f64 = 0.25;
 /// While few more machines can be led, a machine itself weighs as much as this share of the price of a
 /// task that fills it: one that holds four tasks then wins unless it costs a fifth more for each.
 pub const SCARCE_COST: f64 = 0.3;
@@ -416,7 +420,7 @@
 pub const SCORE_US: f64 = 5.0;
 /// A pass that takes longer than this by these figures, on the share of a core that the platform
 /// gives, ms, is followed by a rest: reports and the term must have their turn.
-pub const LONG_PASS_MS: f64 = 400.0;
+pub const LONG_PASS_MS: f64 = 150.0;
 /// The next one begins only after this many times as long as it took.
 pub const PASS_REST: f64 = 2.0;
 /// Tasks bound in one pass at most; the next goes on (processor).
--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -57,6 +57,8 @@
     pub image: u32,
     /// Whether a machine of a type rented now would pass, once computed.
     pub passes: Vec<Option<bool>>,
+    /// When its task would end on a machine rented now, once computed in a search.
+    rented: Option<Option<f64>>,
     heap: BinaryHeap<(Rank, u32)>,
     known: usize,
     lines: bool,
@@ -68,6 +70,7 @@
     /// Begins a new search. `lines`: places in lines count too.
     pub fn search(&mut self, lines: bool) {
         self.heap.clear();
+        self.rented = None;
         self.known = 0;
         self.lines = lines && !self.is_service() && !self.overdue && !self.capped;
     }
@@ -154,6 +157,7 @@
             kinds: Vec::new(),
             image: self.images.number(&spec.image),
             passes: vec![None; self.types.len()],
+            rented: None,
             heap: BinaryHeap::new(),
             known: 0,
             lines: false,
@@ -285,17 +289,28 @@
         // rented now would not be sooner.
         if c.due.is_none()
             && matches!(self.places[index].what, What::Line(_))
-            && self.rental(c, true).is_some_and(|(kind, ..)| {
-                let t = &self.types[kind];
-                let up = self.view.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
-                up + self.run_guess(c, kind).mean() < score.mean
-            })
+            && self.end_on_rental(c).is_some_and(|end| end < score.mean)
         {
             return None;
         }
         Some((index, score))
     }
 
+    /// When a chooser's task would end on a machine rented now: worked out once in a search, since a chooser
+    /// picks anew with each task that any of hundreds places.
+    fn end_on_rental(&mut self, c: &mut Chooser) -> Option<f64> {
+        if let Some(known) = c.rented {
+            return known;
+        }
+        let end = self.rental(c, true).map(|(kind, ..)| {
+            let t = &self.types[kind];
+            let up = self.view.now as f64 + t.boot_ms + t.fetch_ms(&c.spec);
+            up + self.run_guess(c, kind).mean()
+        });
+        c.rented = Some(end);
+        end
+    }
+
     /// Each chooser picks its place of highest chance; the one of least completion time takes
     /// its own; until nobody finds a place. `passing`: only above the threshold. Otherwise those
     /// left take what nobody passing wanted, and plan rentals for what finds nothing.
