--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -185,11 +185,11 @@
 /// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
 pub const LEDGER_MOST: usize = 4_000;
 /// Bindings that stay on the sheets until their tasks end; the oldest beyond are taken over by chunks: some
-/// twelve sheets, which a new leader reads at once.
-pub const LEDGER_KEPT: usize = 2_000;
+/// seven sheets, which a new leader reads at once.
+pub const LEDGER_KEPT: usize = 1_200;
 /// Bindings on the sheets beyond which work of the lowest priority binds no more: what has ended and waits for
 /// its commit is among them, and a guest's array of short tasks ends faster than that can be committed.
-pub const LEDGER_LOW: usize = 2_800;
+pub const LEDGER_LOW: usize = 3_000;
 /// Exits of a job that wait for their commit from which on its chunks are written with users' work and not
 /// after it.
 pub const FOLD_PRESSING: usize = 32;
@@ -285,10 +285,6 @@
 pub const SILENT_ZONE_LEAST: u32 = 5;
 /// Time over which waiting for a machine's boot and fetch doubles its cost per task, ms.
 pub const RENT_WAIT_MS: f64 = 120_000.0;
-/// Longest time for which work of the lowest priority waits for idle room before machines are rented for it, ms.
-pub const RENT_LOW_MS: u64 = 120_000;
-/// Part of the time in which it is wanted that it waits so.
-pub const RENT_LOW_PART: f64 = 0.25;
 /// While few more machines can be led, a machine itself weighs as much as this share of the price of a
 /// task that fills it: one that holds four tasks then wins unless it costs a fifth more for each.
 pub const SCARCE_COST: f64 = 0.3;
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -137,7 +137,7 @@
         };
         let until = self.now.steady + USER_STORE_TIMEOUT_MS;
         let purpose = Purpose::Create { request, job: id };
-        self.store.push(Call::Commit(commit), purpose, Urgency::Work, Patience::Once(until));
+        self.store.push(Call::Commit(commit), purpose, Urgency::Bind, Patience::Once(until));
     }
 
     /// What speaks against a job, if anything.
@@ -348,7 +348,7 @@
         };
         let until = self.now.steady + USER_STORE_TIMEOUT_MS;
         let purpose = Purpose::Cancel(id.clone());
-        self.store.push(Call::Commit(commit), purpose, Urgency::Work, Patience::Once(until));
+        self.store.push(Call::Commit(commit), purpose, Urgency::Bind, Patience::Once(until));
     }
 }
 
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -106,7 +106,7 @@
 
 /// The time by which users want a job without a deadline to be done: as the aims of its class ask of its
 /// end, or of its start.
-pub(super) fn wanted_by(view: View, job: &Job, run_ms: f64) -> Option<Time> {
+fn wanted_by(view: View, job: &Job, run_ms: f64) -> Option<Time> {
     let aims = view.settings.settings.objectives.iter();
     let own = aims.filter(|o| o.class.as_deref() == Some(&job.spec.class));
     let within = own.filter_map(|o| match (o.kind.as_str(), o.within_s) {
--- a/crates/core/src/placement/rental.rs
+++ b/crates/core/src/placement/rental.rs
@@ -1,13 +1,11 @@
 //! Machines to rent: lines behind boot and fetch time.
 
 use super::chooser::Chooser;
-use super::limits::wanted_by;
 use super::places::{Place, What};
 use super::round::Round;
 use crate::Time;
 use crate::chance::Pmf;
 use crate::constants::*;
-use crate::job::Priority;
 use crate::machine::{Room, Standing};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -170,23 +168,8 @@
         self.places.len() - 1
     }
 
-    /// Whether work of the lowest priority still waits for idle room before a machine is rented for it: for a
-    /// part of the time in which it is wanted.
-    fn rents_later(&self, c: &Chooser) -> bool {
-        let job = self.tables.jobs.get(&c.id).filter(|j| j.spec.priority == Priority::Low);
-        job.is_some_and(|job| {
-            let due = job.due.or_else(|| wanted_by(self.view, job, 0.0));
-            let time = due.map_or(RENT_LOW_MS, |due| due.saturating_sub(job.known_at));
-            let patience = (time as f64 * RENT_LOW_PART) as u64;
-            self.view.now < job.known_at + patience.min(RENT_LOW_MS)
-        })
-    }
-
     /// Plans machines for what finds no place.
     pub fn plan_rentals(&mut self, c: &mut Chooser, passing: bool) {
-        if self.rents_later(c) {
-            return;
-        }
         while c.left > 0 && self.within_limit(c, 1) {
             let Some((kind, zone, spot)) = self.rental(c, passing) else { break };
             let index = self.wish(kind, zone, spot);
--- a/crates/core/src/store/mod.rs
+++ b/crates/core/src/store/mod.rs
@@ -102,9 +102,9 @@
 pub enum Urgency {
     /// The term.
     Term,
-    /// Bindings of tasks that are to start.
+    /// Submissions and cancellations, and bindings of tasks that are to start: those leave half of the changes.
     Bind,
-    /// Users and tasks.
+    /// Polls, ends, and what else somebody waits for.
     Work,
     /// What nothing waits for.
     Tidy,
