--- a/crates/core/src/placement/chooser.rs
+++ b/crates/core/src/placement/chooser.rs
@@ -318,12 +318,16 @@
         for c in choosers.iter_mut() {
             c.search(passing);
         }
+        // A pick holds until its place is taken or its chooser takes one: hundreds of choosers need not look
+        // again at each of hundreds of tasks.
+        let mut picks: Vec<Option<Option<(usize, Score)>>> = vec![None; choosers.len()];
         while self.binds < self.view.steering.bounds.binds {
             let joined = self.joins >= self.view.steering.bounds.joins;
             let mut best: Option<(usize, usize, f64)> = None;
             let open = |(_, c): &(usize, &mut Chooser)| c.left > 0 && !c.set_aside;
             for (n, c) in choosers.iter_mut().enumerate().filter(open) {
-                let Some((place, score)) = self.pick(c, passing) else { continue };
+                let pick = *picks[n].get_or_insert_with(|| self.pick(c, passing));
+                let Some((place, score)) = pick else { continue };
                 if joined && matches!(self.places[place].what, What::Line(_)) {
                     c.set_aside = true;
                     continue;
@@ -333,6 +337,10 @@
                 }
             }
             let Some((n, place, _)) = best else { break };
+            let stale = |(m, pick): &(usize, &mut Option<Option<(usize, Score)>>)| {
+                *m == n || pick.is_some_and(|p| p.is_some_and(|(index, _)| index == place))
+            };
+            picks.iter_mut().enumerate().filter(stale).for_each(|(_, pick)| *pick = None);
             let c = &mut choosers[n];
             let lined = matches!(self.places[place].what, What::Line(_));
             if !lined && !self.within_limit(c, 1) {
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -3,7 +3,7 @@
 use super::chooser::Chooser;
 use super::ends::Ends;
 use super::limits::TeamRoom;
-use super::places::{Names, Place};
+use super::places::{Names, Place, What};
 use super::preempt::Candidate;
 use super::rental::Open;
 use crate::Time;
@@ -199,11 +199,11 @@
     /// Room that has become free beats standing in a line: whoever stands in one and fits chooses
     /// again.
     fn release_lined(&mut self) {
+        let now = |p: &Place| p.what == What::Now && p.room.cpus > SLACK;
+        let free: Vec<usize> = (0..self.places.len()).filter(|n| now(&self.places[*n])).collect();
         for id in self.out.lines.jobs() {
             let Some(c) = self.chooser(&id) else { continue };
-            let free =
-                self.places.iter().any(|p| p.what == super::places::What::Now && self.suits(&c, p));
-            if free {
+            if free.iter().any(|n| self.suits(&c, &self.places[*n])) {
                 self.out.lines.drop_job(&id);
             }
         }
