--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -177,9 +177,9 @@
 pub const LEDGER_PART_BUSY: f64 = 4.0;
 /// Chunks of a job written with one transaction: more would take a second's changes at once.
 pub const FOLDS_AT_ONCE: usize = 4;
-/// Ends of jobs that wait for the store's budget at once: those that come later are told by priority, not
+/// Ends of jobs on their way to the store at once: those that come later are told by priority, not
 /// in the order in which they came.
-pub const ENDS_QUEUED: usize = 6;
+pub const ENDS_QUEUED: usize = 8;
 /// Largest sheet of the ledger, bytes, where values may be larger (processor: it is written whole).
 pub const SHEET_BYTES: usize = 8 * 1024;
 /// Bindings on all sheets at most (memory); more wait until chunks have taken some over.
@@ -190,6 +190,8 @@
 /// Bindings on the sheets beyond which work of the lowest priority binds no more: what has ended and waits for
 /// its commit is among them, and a guest's array of short tasks ends faster than that can be committed.
 pub const LEDGER_LOW: usize = 3_000;
+/// Bindings of a chunk from which on it takes them over.
+pub const FOLD_LEAST: usize = 12;
 /// Exits of a job that wait for their commit from which on its chunks are written with users' work and not
 /// after it.
 pub const FOLD_PRESSING: usize = 32;
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -9,6 +9,7 @@
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
 use crate::tables::{Tables, split_task};
 use std::cmp::Reverse;
+use std::collections::HashMap;
 use swiftsail_wire::state::{Change, Commit, Page, When};
 use swiftsail_wire::workers::Cause;
 
@@ -35,6 +36,8 @@
     pub fn flush_all(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
         self.relieve_ledger(now);
+        let ending = |j: &&Job| j.flight.as_ref().is_some_and(|f| f.ended.is_some());
+        self.ending = self.jobs.values().filter(ending).count();
         let idle = self.jobs.iter().filter(|(_, j)| j.flight.is_none());
         let mut ends = Vec::new();
         let mut due: Vec<(Time, JobId)> = Vec::new();
@@ -59,10 +62,16 @@
     }
 
     /// Chunks take over the oldest bindings of a ledger that holds many. Below that a binding stays on its
-    /// sheet until its task ends: a job of one short task then costs no chunk at all.
+    /// sheet until its task ends: a job of one short task then costs no chunk at all. Nor does a chunk take
+    /// over a few: with hundreds of such jobs each would cost a change that ends and bindings wait for.
     fn relieve_ledger(&mut self, now: Time) {
+        let mut found: HashMap<(&JobId, u32), (u32, usize)> = HashMap::new();
         for (id, task) in self.ledger.beyond(LEDGER_KEPT) {
-            if let Some(job) = self.jobs.get_mut(id) {
+            let Some(job) = self.jobs.get(id) else { continue };
+            found.entry((id, job.chunk_of(task))).or_insert((task, 0)).1 += 1;
+        }
+        for ((id, _), (task, bindings)) in found {
+            if let Some(job) = self.jobs.get_mut(id).filter(|_| bindings >= FOLD_LEAST) {
                 job.touch(task, now);
             }
         }
@@ -70,8 +79,9 @@
 
     /// Ends a job as soon as nothing of it is left to do.
     pub fn end_if_over(&mut self, id: &JobId, ctx: &mut Ctx) {
-        let waits = ctx.store.queued()[Urgency::Work as usize] >= ENDS_QUEUED;
-        if !waits && self.jobs.get(id).is_some_and(|j| j.flight.is_none() && closing(j).is_some()) {
+        let over = |j: &Job| j.flight.is_none() && closing(j).is_some();
+        if self.ending < ENDS_QUEUED && self.jobs.get(id).is_some_and(over) {
+            self.ending += 1;
             self.flush(id, ctx);
         }
     }
@@ -106,10 +116,10 @@
             flight.ended = Some(record);
             job.advance(JobState::Closing, now);
         } else {
-            // What has exited is told with every report of its machine until its end is committed, and a
-            // full ledger stops all binding: many of either wait for nobody.
+            // What has exited is told with every report of its machine until its end is committed: very many
+            // wait for nobody.
             let ended = job.attempts.values().filter(|a| !a.occupies()).count();
-            let pressing = ended >= FOLD_PRESSING || self.ledger.room() < LEDGER_MOST / 2;
+            let pressing = ended >= FOLD_PRESSING;
             urgency = if pressing { Urgency::Work } else { Urgency::Tidy };
             let value = (ctx.settings.settings.state.value_kb * 1024.0) as usize;
             let take_over = self.ledger.len() > LEDGER_KEPT;
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -72,6 +72,8 @@
     pub over: VecDeque<(JobId, u64, FinalRecord)>,
     /// Some of them are being moved.
     pub moving: bool,
+    /// Jobs whose end is on its way, as counted with the last timer step and begun since.
+    pub ending: usize,
     /// The store is being read by a new leader.
     loading: bool,
     /// What may be used of each team's limit, where limits are held in the state service; none: what the
@@ -126,6 +128,7 @@
             left_over: Vec::new(),
             over: VecDeque::new(),
             moving: false,
+            ending: 0,
             loading: true,
             caps: None,
             shrunk_at: 0,
