A team's work of the lowest priority keeps its claim to the team's guarantee

Found on the last read: since what runs in idle hours gives way, a team's own work of the lowest priority, within its guarantee, no longer had what others borrowed stopped for it.

--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -102,8 +102,7 @@
         let lent = asked.fold(GUARANTEE_S, f64::min) * MS_PER_S * RECLAIM_AFTER;
         let patience = if guests { YIELD_AFTER_MS.min(lent) } else { lent };
         let mut most = RECLAIM_MOST;
-        let claims = |c: &&mut Chooser| c.spec.priority > Priority::Low && !c.is_service();
-        for c in choosers.iter_mut().filter(claims).filter(|c| c.left > 0) {
+        for c in choosers.iter_mut().filter(|c| !c.is_service() && c.left > 0) {
             let waits = self.tables.jobs.get(&c.id).map_or(0, |j| now.saturating_sub(j.known_at));
             c.within = within && waits as f64 >= lent;
             let lately =
@@ -114,8 +113,10 @@
             if (waits as f64) < patience || lately || free >= c.left {
                 continue;
             }
-            // Machines that can be rented in time cost less than the work that would be lost.
-            if !c.within && self.rental(c, true).is_some() {
+            // Beside its team's guarantee, work of the lowest priority claims nothing; for other work machines
+            // that can be rented in time cost less than what would be lost.
+            let low = c.spec.priority == Priority::Low;
+            if !c.within && (low || self.rental(c, true).is_some()) {
                 continue;
             }
             // A gang waits for all of it: room for a part would stand empty.
@@ -132,7 +133,9 @@
                 stopped.extend(victims);
             }
             most -= rooms;
-            self.hold_for(c, lacks - rooms);
+            if !low {
+                self.hold_for(c, lacks - rooms);
+            }
             if rooms > 0 {
                 c.left -= if c.spec.kind == Kind::Gang { 0 } else { rooms };
                 let by = c.id.clone();
