--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -167,7 +167,9 @@
         .values()
         .filter(|m| m.standing() == Standing::Ready && m.tasks.is_empty() && m.strays.is_empty())
         // What does not hear is given up under a bound of its own.
-        .filter(|m| m.suspect || m.ear.hears() && now >= m.idle_since + view.steering.idle_ms)
+        .filter(|m| {
+            m.suspect || m.renewed || m.ear.hears() && now >= m.idle_since + view.steering.idle_ms
+        })
         .map(|m| m.id.clone())
         .collect();
     if empty.is_empty() {
@@ -179,6 +181,8 @@
         let Some(machine) = tables.machines.get(&id) else { continue };
         if machine.suspect {
             out.returns.push((id, "it is suspected"));
+        } else if machine.renewed {
+            out.returns.push((id, "its worker has begun anew"));
         } else if !demand.wants(machine) && !reserve.needs(machine, types) {
             out.returns.push((id, "it is idle"));
         }
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -191,6 +191,11 @@
     pub errors: BTreeSet<JobId>,
     /// Why it is suspected.
     pub suspect: bool,
+    /// Its worker has begun anew under this term: what its earlier life sent, with higher numbers, may still be
+    /// on its way, and would tell of tasks given to it now that they are gone. It is given nothing more.
+    pub renewed: bool,
+    /// The highest token that it has shown.
+    pub helm: u64,
     /// Whether what is said to it arrives.
     pub ear: Ear,
     /// When its session was first seen, and how many of its reports were answered under this term's token.
@@ -229,6 +234,8 @@
             idle_since: now,
             errors: BTreeSet::new(),
             suspect: false,
+            renewed: false,
+            helm: 0,
             ear: Ear::default(),
             session: (now, 0),
             asked: None,
@@ -349,13 +356,14 @@
 
     /// Whether it may be given work, as far as faults and hearing go.
     pub fn trusted(&self) -> bool {
-        !self.suspect && self.ear.hears()
+        !self.suspect && !self.renewed && self.ear.hears()
     }
 
     /// Its worker has begun anew: its numbers count from the start again, and its cache is empty.
     pub fn reborn(&mut self, now: Time) {
         (self.latest, self.reported, self.shown) = ((0, 0), (0, 0), None);
         self.session = (now, 0);
+        (self.renewed, self.helm) = (true, 0);
         self.images.clear();
         self.free = None;
     }
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -59,9 +59,12 @@
         let machine =
             self.machines.entry(id.clone()).or_insert_with(|| Machine::new(id.clone(), now));
         let at = (report.watch, report.tick);
-        if at <= machine.latest {
+        // A token once shown is shown ever after: a higher number under a lower one is of an earlier life of its
+        // worker, on its way since then.
+        if at <= machine.latest || report.helm < machine.helm {
             return orders;
         }
+        machine.helm = report.helm;
         let first = machine.heard.is_none();
         if source == Source::Report && acknowledged {
             let sign = machine.follow_session(report.watch, self.lease_ms, now);
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -166,6 +166,16 @@
     pub peers: bool,
     /// It is without the state service, which refuses it.
     pub store: bool,
+    /// What is sent in the meantime arrives, in order, when it is over: nobody waits for it any more.
+    pub hold: bool,
+}
+
+impl Cut {
+    /// A cut that cuts nothing yet.
+    pub fn of(node: usize, from_ms: u64, for_ms: u64) -> Cut {
+        let (workers, peers, store, hold) = (false, false, false, false);
+        Cut { node, from_ms, for_ms, workers, peers, store, hold }
+    }
 }
 
 /// The world.
@@ -187,6 +197,7 @@
     next_request: u64,
     weather: Weather,
     away: Vec<(u64, u64)>,
+    slow: Vec<(u64, u64)>,
     calm_from: u64,
     version: u64,
     /// What report hooks were sent.
@@ -271,6 +282,7 @@
             next_request: 1,
             weather,
             away: Vec::new(),
+            slow: Vec::new(),
             calm_from: BEGIN + calm_after_ms,
             version: 0,
             delivered: Vec::new(),
@@ -372,6 +384,11 @@
         self.away.push((BEGIN + at_ms, BEGIN + at_ms + for_ms));
     }
 
+    /// The state service answers slowly from a time on, for so long.
+    pub fn slow(&mut self, at_ms: u64, for_ms: u64) {
+        self.slow.push((BEGIN + at_ms, BEGIN + at_ms + for_ms));
+    }
+
     /// A controller crashes at a time.
     pub fn crash(&mut self, at_ms: u64, node: usize) {
         self.at(BEGIN + at_ms, Ev::Crash(node));
@@ -444,6 +461,14 @@
         self.cuts.iter().filter(its).any(part)
     }
 
+    /// When what is held back for that part of a controller's network arrives, if it is held back now.
+    fn held_until(&self, n: usize, part: impl Fn(&Cut) -> bool) -> Option<u64> {
+        let now = self.now - BEGIN;
+        let its = |c: &&Cut| c.node == n && (c.from_ms..c.from_ms + c.for_ms).contains(&now);
+        let held = self.cuts.iter().filter(its).filter(|c| c.hold && part(c));
+        held.map(|c| BEGIN + c.from_ms + c.for_ms).max()
+    }
+
     /// Whether two controllers do not reach each other now.
     fn apart(&self, a: usize, b: usize) -> bool {
         self.cut(a, |c| c.peers) || self.cut(b, |c| c.peers)
@@ -508,6 +533,9 @@
             Action::Store(id, call) => self.at(at, Ev::StoreCall(n, life, id, call)),
             Action::Cloud(call) => self.at(at + 100, Ev::CloudCall(n, life, Box::new(call))),
             Action::Direct(addr, direct) => {
+                if let Some(until) = self.held_until(n, |c| c.workers) {
+                    return self.at(until, Ev::Direct(n, life, addr, Box::new(direct)));
+                }
                 if !self.lost() && !self.cut(n, |c| c.workers) && !self.deaf(&addr, false) {
                     self.at(at, Ev::Direct(n, life, addr, Box::new(direct)));
                 }
@@ -661,6 +689,11 @@
             }
             Ev::Report(n, report, sent) => {
                 let life = self.lives[n];
+                if let Some(until) = self.held_until(n, |c| c.workers) {
+                    let (name, watch) = (report.berth.clone(), report.watch);
+                    self.at(until, Ev::Copy(n, report));
+                    return self.at(sent + 4_000, Ev::Orders(name, watch, sent, None));
+                }
                 if self.nodes[n].is_none() || self.cut(n, |c| c.workers) {
                     let (name, watch) = (report.berth.clone(), report.watch);
                     return self.at(self.now + 1, Ev::Orders(name, watch, sent, None));
@@ -707,7 +740,31 @@
             self.follows.push((n, life, id, prefix.clone(), *from, self.now + 10_000));
             return self.wake_follows();
         }
+        if let Some(until) = self.held_until(n, |c| c.store).filter(|_| life != 0) {
+            let outcome = Event::Store(id, Outcome::Unknown);
+            self.at(self.now + 1_500, Ev::ToNode(n, life, Box::new(outcome)));
+            if matches!(call, Call::Commit(_)) {
+                self.at(until, Ev::StoreCall(n, 0, 0, call));
+            }
+            return;
+        }
         let back = self.now + self.delay();
+        // Slow answers: some come after their caller has given up, of what was done at once or only then.
+        if self.slow.iter().any(|(from, to)| (*from..*to).contains(&self.now)) && life != 0 && !away
+        {
+            let after = self.rng.random_range(0..3_000);
+            if after > 1_500 {
+                let outcome = Event::Store(id, Outcome::Unknown);
+                self.at(self.now + 1_500, Ev::ToNode(n, life, Box::new(outcome)));
+                if matches!(call, Call::Commit(_)) {
+                    self.at(self.now + after * 4, Ev::StoreCall(n, 0, 0, call));
+                }
+                return;
+            }
+            let outcome = Event::Store(id, self.serve(&call));
+            self.at(self.now + after, Ev::ToNode(n, life, Box::new(outcome)));
+            return self.wake_follows();
+        }
         if away {
             let event = Event::Store(id, Outcome::Refused);
             return self.at(back, Ev::ToNode(n, life, Box::new(event)));
