--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -22,6 +22,9 @@
     pub fn beat(&mut self, brief: bool) -> Beat {
         let ok = self.store.last_ok.unwrap_or(0);
         let away = self.store.away() || self.store.last_ok.is_none();
+        // A leader of an earlier version would take this for "nothing was cancelled".
+        let leader = self.term.leader.as_ref();
+        let away = away && !leader.is_some_and(|l| self.held.is_silent(l));
         let counts = self.leader.as_ref().filter(|_| !brief).map(Tables::counts);
         let mut beat = Beat {
             node: self.settings.host_name.clone(),
--- a/crates/core/src/term/held.rs
+++ b/crates/core/src/term/held.rs
@@ -193,6 +193,11 @@
         heard
     }
 
+    /// Whether that controller was heard, and its version tells nothing of what it holds.
+    pub fn is_silent(&self, node: &str) -> bool {
+        self.others.get(node).is_some_and(|o| !o.tells)
+    }
+
     /// The lead is over, or begins: nobody has vouched for it.
     pub fn forget_vouchers(&mut self) {
         for other in self.others.values_mut() {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -5,13 +5,15 @@
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeSet;
 use std::hash::Hash;
+use swiftsail_core::constants::NOTES_MOST;
 use swiftsail_core::job::{JobId, MachineId};
-use swiftsail_core::node::Node;
+use swiftsail_core::node::{Action, Event, Node, Now};
+use swiftsail_core::store::Outcome;
 use swiftsail_core::tables::{Source, Tables};
 use swiftsail_core::term::{Held, Lead, holders_needed, vouchers_needed};
 use swiftsail_membership::Probe;
 use swiftsail_standin::explorer::{Found, Small, explore};
-use swiftsail_standin::world::{BEGIN, Cut, Deafness, Weather, World, job};
+use swiftsail_standin::world::{BEGIN, Cut, Deafness, Weather, World, job, settings};
 use swiftsail_wire::controllers::Beat;
 use swiftsail_wire::workers::Report;
 
@@ -136,6 +138,72 @@
     assert_eq!((holders_needed(1), holders_needed(2), holders_needed(3)), (1, 1, 2));
 }
 
+/// A heartbeat of an earlier version says nothing of what its sender holds: it counts for no user and no leader, and a
+/// leader that goes by such words is given none.
+#[test]
+fn an_earlier_versions_heartbeat_says_nothing() {
+    let mut held = Held::default();
+    held.opened(10);
+    let old = Beat { node: "n1".into(), token: 5, store_age_ms: 60_000, ..Beat::default() };
+    let lead = Lead { token: 9, read: 50, from: 0 };
+    held.fill(&mut Beat::default(), 1_000);
+    held.hear("n0", 7, &old, Some(lead));
+    assert_eq!(held.known_as_of(Some(400), 0, 2, 2_000), Some(400));
+    held.hold(&JobId::from(JOB), 60, 0);
+    assert!(!held.enough(JOB, 60, 3), "two of three must hold it");
+
+    let mut now = Now { steady: BEGIN, wall: BEGIN };
+    let mut node = Node::new(settings(1), 1, now);
+    for _ in 0..60 {
+        now.steady += 100;
+        for action in node.take_actions() {
+            if let Action::Store(id, _) = action {
+                node.handle(Event::Store(id, Outcome::Refused), now);
+            }
+        }
+        node.handle(Event::Tick, now);
+    }
+    let old = Beat { node: "n0".into(), leads: true, ..old };
+    for (process, vouches) in [(0, false), (3, true)] {
+        node.handle(Event::Beat(Beat { process, number: 1, ..old.clone() }), now);
+        assert_eq!(node.beat(true).store_age_ms > 5_000, vouches, "process {process}");
+    }
+}
+
+/// Whatever a heartbeat names, in whatever numbers: what is held stays bounded, and one that names more than a
+/// controller holds is not acknowledged as if all of it were held.
+#[test]
+fn heartbeats_that_name_very_much_are_bounded() {
+    let names = (0..100_000).map(|n| (format!("wk-{n}"), n + 1, 0));
+    let many: Vec<(String, u64, u64)> = names.chain([("no id".into(), 1, 0)]).collect();
+    for opened in [false, true] {
+        let mut held = Held::default();
+        if opened {
+            held.opened(0);
+        }
+        for (number, from) in (1..).zip((0..many.len()).step_by(300)) {
+            let cancelled = many[from..(from + 300).min(many.len())].to_vec();
+            let beat = Beat { node: "n1".into(), process: 3, number, cancelled, ..Beat::default() };
+            held.hear("n0", 7, &beat, None);
+            assert!(held.notes().count() <= NOTES_MOST);
+        }
+        let beat = Beat {
+            node: "n2".into(),
+            process: 4,
+            number: 1,
+            cancelled: many.clone(),
+            ..Beat::default()
+        };
+        held.hear("n0", 7, &beat, None);
+        assert!(held.notes().count() <= NOTES_MOST);
+        let mut ours = Beat::default();
+        held.fill(&mut ours, 1_000);
+        assert!(ours.taken.iter().all(|(node, ..)| node != "n2"), "not all of it is held");
+        assert_eq!(ours.taken.iter().any(|t| t.0 == "n1" && t.2 > 300), opened);
+        assert!(opened || ours.floor.is_none(), "it has read nothing, and vouches for nobody");
+    }
+}
+
 // ---- every order of steps ----------------------------------------------------------------------
 
 /// What is left out of the small world to see that the explorer finds it.
