--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -6,7 +6,7 @@
 use crate::job::keys;
 use crate::store::{Call, Finished, Outcome, Patience, Urgency};
 use crate::tables::Tables;
-use crate::term::{LeaderRecord, Phase};
+use crate::term::{LeaderRecord, Phase, Voice};
 use rand::Rng;
 use swiftsail_wire::state::{Change, Commit, News, When};
 
@@ -97,6 +97,7 @@
         let mut tables = Tables::new(token, era, now);
         tables.read_at = now;
         self.held.forget_vouchers();
+        self.voice = Voice::default();
         tables.lease_ms = self.settings.settings.workers.lease_s * MS_PER_S;
         tables.tiers = self.order.tiers.clone();
         self.loading = Some(tables);
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -52,7 +52,7 @@
 use crate::steering::Steering;
 use crate::store::{Call, Outcome, Patience, Store, Urgency};
 use crate::tables::Tables;
-use crate::term::{Held, Phase, Term};
+use crate::term::{Held, Phase, Term, Voice};
 use desk::Desk;
 use mirror::Mirror;
 use order::Order;
@@ -238,6 +238,7 @@
     peers: BTreeMap<String, Peer>,
     /// Cancellations held for the leader, and what others hold.
     held: Held,
+    voice: Voice,
     passed: HashMap<String, Passed>,
     held_reports: Vec<(RequestId, Box<Report>)>,
     relays: Relays,
@@ -308,6 +309,7 @@
             counts: BTreeMap::new(),
             peers: BTreeMap::new(),
             held: Held::default(),
+            voice: Voice::default(),
             passed: HashMap::new(),
             held_reports: Vec::new(),
             relays: Relays::default(),
@@ -447,6 +449,7 @@
     fn lead(&mut self) {
         self.weigh_reach();
         self.read_jobs();
+        self.weigh_voice();
         if let Some(leader) = &mut self.leader {
             self.direct.extend(leader.stops(self.now.steady));
         }
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -85,6 +85,8 @@
             level = ?self.pressure.level(),
             load = format!("{:.2}", self.load.share().unwrap_or(0.0)),
             upkeep = format!("{:.2}", self.upkeep.share().unwrap_or(0.0)),
+            sure_ms = self.sure_ms(),
+            cancelled_held = self.held.notes().count(),
             machines_most = self.machines_most().0,
             kinds = kinds.join(", "),
             at_limit = limits.join(", "),
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -4,6 +4,7 @@
 use crate::Time;
 use crate::constants::*;
 use crate::tables::Source;
+use crate::term::Voice;
 use swiftsail_wire::workers::{Redirect, Report};
 
 /// What this node, not leading, has done with a worker's reports.
@@ -130,16 +131,42 @@
         spare.saturating_sub(FADE_MARGIN_MS).max(FADE_LEAST_MS.min(spare / 2))
     }
 
-    /// For how long this node, leading, may go on answering if it learns nothing more, ms.
-    pub(super) fn sure_ms(&self) -> u64 {
+    /// When this node, leading, asked for what it has read of the jobs; and as of when it knows every cancellation
+    /// that a user was told of, by that or by others' word.
+    fn known(&self) -> (Option<Time>, Option<Time>) {
         // In doubt of its lead, a node has only others' word.
         let read = self.leader.as_ref().filter(|_| self.sure()).map(|l| l.read_at);
         let (from, now) = (self.vouched_from(), self.now.steady);
-        let known = self.held.known_as_of(read, from, self.settings.controllers(), now);
-        known.map_or(0, |at| (at + self.sure_for_ms()).saturating_sub(now))
+        (read, self.held.known_as_of(read, from, self.settings.controllers(), now))
+    }
+
+    /// For how long this node, leading, may go on answering if it learns nothing more, ms.
+    pub(super) fn sure_ms(&self) -> u64 {
+        let known = self.known().1;
+        known.map_or(0, |at| (at + self.sure_for_ms()).saturating_sub(self.now.steady))
     }
 
     pub(super) fn may_answer(&self) -> bool {
         self.sure_ms() > 0
     }
+
+    /// Tells those on call by what this leader answers its workers, when that changes.
+    pub(super) fn weigh_voice(&mut self) {
+        let Some(leader) = &self.leader else { return };
+        let term = leader.token;
+        let (read, known) = self.known();
+        let to = Voice::of(read, known, self.sure_for_ms(), self.now.steady);
+        if self.voice.advance(to) {
+            let sure_ms = self.sure_ms();
+            match to {
+                Voice::Silent => tracing::warn!(term, "workers are answered no more"),
+                _ => tracing::info!(term, by = ?to, sure_ms, "workers are answered"),
+            }
+        }
+    }
+
+    /// By what this node, leading, answers its workers.
+    pub fn voice(&self) -> Option<Voice> {
+        self.leader.as_ref().map(|_| self.voice)
+    }
 }
--- a/crates/core/src/term/mod.rs
+++ b/crates/core/src/term/mod.rs
@@ -1,8 +1,10 @@
 //! Leadership: one key attached to a lease; its stamp is the token.
 
 mod held;
+mod voice;
 
 pub use held::{Heard, Held, Lead, Note, holders_needed, vouchers_needed};
+pub use voice::Voice;
 
 use crate::Time;
 use crate::constants::*;
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -10,7 +10,7 @@
 use swiftsail_core::node::{Action, Event, Node, Now};
 use swiftsail_core::store::Outcome;
 use swiftsail_core::tables::{Source, Tables};
-use swiftsail_core::term::{Held, Lead, holders_needed, vouchers_needed};
+use swiftsail_core::term::{Held, Lead, Voice, holders_needed, vouchers_needed};
 use swiftsail_membership::Probe;
 use swiftsail_standin::explorer::{Found, Small, explore};
 use swiftsail_standin::world::{BEGIN, Cut, Deafness, Weather, World, job, settings};
@@ -65,7 +65,12 @@
         met += before;
         assert_eq!(leader(&world), Some(leads), "its grant has not ended yet");
         world.run(at + 60_000);
-        assert_eq!(leader(&world), Some(leads), "nobody else could be elected");
+        let voice = world.nodes[leads].as_ref().and_then(Node::voice);
+        assert_eq!(
+            voice,
+            Some(Voice::Vouched),
+            "it has not read for longer than a leader may go on"
+        );
         let killed: u64 = world.plant.workers.values().map(|w| w.killed).sum();
         assert_eq!(killed, 0, "seed {seed}: with a majority's word no lease ends");
         world.run(at + 200_000);
@@ -74,6 +79,25 @@
     assert!(met >= 20, "{met} cancellations were confirmed in the gap");
 }
 
+/// Cut off from the state service and the others, with its workers, and then it is away for all: the leader answers
+/// until what it read is too old, and no longer; what others confirmed ends in time.
+#[test]
+fn a_leader_that_learns_nothing_falls_silent() {
+    for seed in 0..4 {
+        let (mut world, leads, at) = busy(seed);
+        world.cuts.push(Cut { peers: true, ..refused(leads, at, 60_000) });
+        world.outage(at + 2_000, 58_000);
+        let voice = |world: &World| world.nodes[leads].as_ref().and_then(Node::voice);
+        world.run(at + 18_000);
+        assert_eq!(voice(&world), Some(Voice::Reads), "19 s are left to it");
+        world.run(at + 21_000);
+        assert_eq!(voice(&world), Some(Voice::Silent));
+        world.run(at + 200_000);
+        assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
+        assert_eq!(told(&world, at, at + 200_000), 24);
+    }
+}
+
 /// The same with a crash of the one that confirmed, of the other, or of both, once or again, before the outage
 /// or in it; and with the refusal of two.
 #[test]
