--- a/crates/core/src/node/relay.rs
+++ b/crates/core/src/node/relay.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 struct Message {
     sent: Time,
+    /// The highest token known then: under a later one nobody answers it any more.
+    token: u64,
     items: Vec<Waiting>,
 }
 
@@ -108,7 +110,13 @@
     }
 
     /// The next message, if it is time for one.
-    fn next(&mut self, node: &str, gather: bool, now: Time) -> Option<(u64, String, Batch)> {
+    fn next(
+        &mut self,
+        node: &str,
+        token: u64,
+        gather: bool,
+        now: Time,
+    ) -> Option<(u64, String, Batch)> {
         let first = self.queue.front()?;
         let due = !gather
             || first.whole
@@ -142,26 +150,39 @@
         }
         let room = (RELAY_BYTES - bytes.min(RELAY_BYTES)) / WELL_BYTES;
         let batch = Batch { node: node.to_string(), reports, well: self.tell(room, now) };
-        Some((self.fly(items, now), leader, batch))
+        Some((self.fly(items, token, now), leader, batch))
     }
 
     /// A message without reports, if the leader has not been told for a while of those answered here.
-    fn summary(&mut self, node: &str, leader: &str, now: Time) -> Option<(u64, String, Batch)> {
+    fn summary(
+        &mut self,
+        node: &str,
+        token: u64,
+        leader: &str,
+        now: Time,
+    ) -> Option<(u64, String, Batch)> {
         let due = now >= self.told_at + SUMMARY_MS && self.flying.len() < RELAYS_FLYING;
         if !due || self.duty.token(now).is_none() {
             return None;
         }
         let well = self.tell(RELAY_BYTES / WELL_BYTES, now);
         let batch = Batch { node: node.to_string(), reports: Vec::new(), well };
-        Some((self.fly(Vec::new(), now), leader.to_string(), batch))
+        Some((self.fly(Vec::new(), token, now), leader.to_string(), batch))
     }
 
-    fn fly(&mut self, items: Vec<Waiting>, now: Time) -> u64 {
+    fn fly(&mut self, items: Vec<Waiting>, token: u64, now: Time) -> u64 {
         self.next += 1;
-        self.flying.insert(self.next, Message { sent: now, items });
+        self.flying.insert(self.next, Message { sent: now, token, items });
         self.next
     }
 
+    /// Messages that nobody will answer: whoever got them has ended, or leads no more. Their workers wait with
+    /// them, 4 s and one more, and a leader that ends a few times in a row would cost them their leases.
+    fn in_vain(&self, token: u64, now: Time) -> Vec<u64> {
+        let vain = |m: &Message| m.token < token || now >= m.sent + RELAY_TIMEOUT_MS;
+        self.flying.iter().filter(|(_, m)| vain(m)).map(|(number, _)| *number).collect()
+    }
+
     /// Takes what the leader is to be told of the reports answered here: with each summary, not with each
     /// message, so that a machine is told of once in a while however often it reports.
     fn tell(&mut self, most: usize, now: Time) -> Vec<Well> {
@@ -195,15 +216,19 @@
     pub(super) fn pass_reports_on(&mut self) {
         let now = self.now.steady;
         self.relays.duty.advance(Turn::Now(now));
+        let token = self.term.highest;
+        for number in self.relays.in_vain(token, now) {
+            self.on_relayed(number, None);
+        }
         let leader = self.term.leader.as_ref();
         let peer = leader.and_then(|l| Some((l, self.peers.get(l)?)));
         let gather = peer.is_some_and(|(_, p)| p.shares);
         let node = &self.settings.host_name;
-        while let Some((number, leader, batch)) = self.relays.next(node, gather, now) {
+        while let Some((number, leader, batch)) = self.relays.next(node, token, gather, now) {
             self.actions.push(Action::Relay(number, leader, Box::new(batch)));
         }
         if let Some((leader, _)) = peer.filter(|(_, p)| p.shares && p.leads)
-            && let Some((number, leader, batch)) = self.relays.summary(node, leader, now)
+            && let Some((number, leader, batch)) = self.relays.summary(node, token, leader, now)
         {
             self.actions.push(Action::Relay(number, leader, Box::new(batch)));
         }
@@ -219,7 +244,7 @@
     /// The leader's answers to reports passed on. Without them each worker is told where to go.
     pub(super) fn on_relayed(&mut self, number: u64, answers: Option<Answers>) {
         let now = self.now.steady;
-        let Some(Message { sent, items }) = self.relays.flying.remove(&number) else {
+        let Some(Message { sent, items, .. }) = self.relays.flying.remove(&number) else {
             return;
         };
         let Some(answers) = answers.filter(|a| a.orders.len() == items.len()) else {
--- a/tests/nights.rs
+++ b/tests/nights.rs
@@ -3,8 +3,13 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use swiftsail_core::node::Node;
-use swiftsail_standin::world::{Cut, Weather, World, assert_over, job, mixed_load};
+use swiftsail_core::constants::RELAY_TIMEOUT_MS;
+use swiftsail_core::node::{Action, Event, Node, Now};
+use swiftsail_standin::world::{
+    BEGIN, Cut, Weather, World, assert_over, job, mixed_load, settings,
+};
+use swiftsail_wire::controllers::Beat;
+use swiftsail_wire::workers::Report;
 
 const CALM: Weather = Weather { loss: 0.0, late: 0.0, crashes: 0, outages: 0 };
 
@@ -112,6 +117,55 @@
     );
 }
 
+/// A report passed on to a leader that ends is given back to its worker: at once when another lead is known, and at
+/// the latest when its time is over, whether or not anybody says that the message was in vain. Leaders that ended
+/// within seconds of each other cost workers two answers in a row, five seconds each, and so their leases.
+#[test]
+fn a_report_passed_on_to_a_leader_that_ends_is_given_back() {
+    let beat =
+        |token| Beat { node: "n1".into(), token, leads: true, process: 7, ..Beat::default() };
+    let report = Report {
+        berth: "m-000001".into(),
+        addr: "10.1.0.1:9000".into(),
+        hull: "small".into(),
+        dock: "b".into(),
+        driftwood: false,
+        watch: 1,
+        tick: 5,
+        helm: 40,
+        recall_s: None,
+        shards: Vec::new(),
+    };
+    let passed_on = || {
+        let now = Now { steady: BEGIN, wall: BEGIN };
+        let mut node = Node::new(settings(0), 3, now);
+        node.handle(Event::Beat(beat(40)), now);
+        node.handle(Event::Report(9, Box::new(report.clone())), now);
+        let relayed =
+            node.take_actions().iter().any(|a| matches!(a, Action::Relay(_, to, _) if to == "n1"));
+        assert!(relayed, "it is passed on to the leader");
+        node
+    };
+    let given_back = |node: &mut Node| {
+        node.take_actions()
+            .iter()
+            .any(|a| matches!(a, Action::Reply(9, reply) if reply.status == 421))
+    };
+    let at = |ms: u64| Now { steady: BEGIN + ms, wall: BEGIN + ms };
+    let mut node = passed_on();
+    node.handle(Event::Beat(beat(40)), at(500));
+    assert!(!given_back(&mut node), "the leader may yet answer");
+    node.handle(Event::Beat(beat(41)), at(600));
+    assert!(given_back(&mut node), "another lead is known");
+    let mut node = passed_on();
+    for ms in (100..RELAY_TIMEOUT_MS).step_by(100) {
+        node.handle(Event::Tick, at(ms));
+        assert!(!given_back(&mut node), "after {ms} ms");
+    }
+    node.handle(Event::Tick, at(RELAY_TIMEOUT_MS));
+    assert!(given_back(&mut node), "its time is over");
+}
+
 /// Idle-hours work fills every machine with small tasks; work that others want done finds its room at once.
 #[test]
 fn guests_give_their_room_up_at_once() {
