--- a/crates/core/src/chance/mod.rs
+++ b/crates/core/src/chance/mod.rs
@@ -5,6 +5,7 @@
 pub use history::{Histories, History};
 
 use crate::constants::BINS;
+use swiftsail_pipelines::Span;
 
 /// A probability mass function over time: mass `k` lies at `origin + k * step` ms. Its last bin
 /// also holds all that lies beyond.
@@ -137,8 +138,33 @@
         last
     }
 
+    /// The longest of so many independent times.
+    pub fn longest_of(&self, count: u32) -> Pmf {
+        let (mut sum, mut below) = (0.0_f64, 0.0_f64);
+        let longest = |m: &f32| {
+            sum = (sum + f64::from(*m)).min(1.0);
+            let upto = sum.powi(count.clamp(1, i32::MAX as u32) as i32);
+            (upto - std::mem::replace(&mut below, upto)) as f32
+        };
+        let mut mass: Vec<f32> = self.mass.iter().map(longest).collect();
+        // What rounding leaves over lies with the last.
+        if let Some(last) = mass.last_mut() {
+            *last += (1.0 - below) as f32;
+        }
+        Pmf { mass, ..*self }
+    }
+
     /// The expected time.
     pub fn mean(&self) -> f64 {
         self.points().map(|(t, m)| t * m).sum()
     }
 }
+
+impl Span for Pmf {
+    fn then(&self, next: &Pmf) -> Pmf {
+        self.convolve(next)
+    }
+    fn within(&self, chance: f64) -> f64 {
+        Pmf::within(self, chance)
+    }
+}
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -329,6 +329,20 @@
 /// Machines remembered as bad for a job.
 pub const BAD_MACHINES_MOST: usize = 16;
 
+// ---- pipelines ---------------------------------------------------------------------------------
+
+/// The form of records that this version reads and writes: 1 knows jobs that await others.
+pub const FORM: u32 = 1;
+/// Time between two looks at what pipelines need of their jobs, ms (processor).
+pub const NEEDED_MS: u64 = 1_000;
+/// Time from the end of a job's last task to the start of those of the next, ms: a report, two commits, a pass, a report.
+pub const HAND_OVER_MS: f64 = 2_500.0;
+/// Jobs that others await whose end a leader asks the state service for at once: a new one may have to ask for all
+/// those of some dozen pipelines.
+pub const STRANGERS_MOST: usize = 40;
+/// Questions under way about what comes before a job, at most (memory).
+pub const WALKS_MOST: usize = 2_000;
+
 // ---- pruning (PAM) -----------------------------------------------------------------------------
 
 /// Pruning threshold: a chance at or below it defers (design; thesis 4.4.2).
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -22,7 +22,7 @@
     /// Counts what waits. While only replicas do, which take room that is there, nothing is kept.
     pub fn count(tables: &Tables, view: View<'a>) -> Demand<'a> {
         let teams = &view.settings.settings.teams;
-        let open = tables.jobs.values().filter(|j| !j.waiting.is_empty() && !j.cancelled());
+        let open = tables.jobs.values().filter(|j| j.queued() && !j.cancelled());
         let open: Vec<_> = open.collect();
         let waits = open.iter().any(|j| j.spec.kind != Kind::Service);
         let jobs = open.into_iter().filter(|_| waits).filter_map(|j| {
--- a/crates/core/src/fleet/moves.rs
+++ b/crates/core/src/fleet/moves.rs
@@ -30,7 +30,7 @@
         });
     out.returns.extend(emptied.into_iter().map(|id| (id.clone(), "it is emptied")));
     // Room is for what waits; and a service that lacks a replica is not disturbed further.
-    if tables.jobs.values().any(|j| !j.waiting.is_empty() && !j.cancelled()) {
+    if tables.jobs.values().any(|j| j.queued() && !j.cancelled()) {
         return;
     }
     for id in &draining {
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -130,6 +130,8 @@
 /// State of a job in the leader's tables.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobState {
+    /// Accepted, and awaits other jobs: none of its tasks may be bound.
+    Awaiting,
     /// Accepted, tasks wait or run.
     Live,
     /// Cancelled; its tasks are being ended.
@@ -152,6 +154,20 @@
     Leaving,
 }
 
+/// Deadlines of a job, by who gives them, in steady time.
+#[derive(Debug, Clone, Copy)]
+struct Dues {
+    own: Option<Time>,
+    arrival: Option<Time>,
+    pipeline: Option<Time>,
+}
+
+impl Dues {
+    fn soonest(&self) -> Option<Time> {
+        [self.own, self.arrival, self.pipeline].into_iter().flatten().min()
+    }
+}
+
 /// A transaction of a job on its way.
 #[derive(Debug, Clone)]
 pub struct Flight {
@@ -179,15 +195,19 @@
     state: JobState,
     /// Time of day of its acceptance, ms since the epoch.
     pub accepted_wall: u64,
-    /// The same in this process's steady time, as far as clocks agree: how long it has waited outlives leaders.
-    pub accepted_at: Time,
+    /// From when on it could have been placed, in this process's steady time, as far as clocks agree: its acceptance,
+    /// or the end of the last job that it awaits. How long it has waited outlives leaders.
+    pub eligible_at: Time,
     /// Name of the tier that it was accepted into, if its record has one; and where that stands.
     pub accepted_as: Option<String>,
     /// See `accepted_as`.
     pub tier: Tiers,
-    /// Deadline in steady time: its own, or the one that an arrival gives it if that is sooner.
+    /// Deadline in steady time: the soonest of its own, the one that an arrival gives it, and the one that the jobs
+    /// which await it do.
     pub due: Option<Time>,
-    own_due: Option<Time>,
+    dues: Dues,
+    /// Its own priority: what it asks for may carry a higher one, of a job that awaits it.
+    pub own_priority: Priority,
     /// When this leader learnt that it is cancelled.
     pub cancelled_at: Option<Time>,
     /// Tasks that wait for a place.
@@ -234,13 +254,14 @@
             chunk_tasks: record.chunk_tasks.max(1),
             spec,
             stamp,
-            state: JobState::Live,
+            state: if record.awaits.is_empty() { JobState::Live } else { JobState::Awaiting },
             accepted_wall: record.accepted_wall,
-            accepted_at: now.saturating_sub(passed),
+            eligible_at: now.saturating_sub(passed),
             accepted_as: record.tier.clone(),
             tier: Tiers { tier: u8::MAX, ordered: false },
             due,
-            own_due: due,
+            dues: Dues { own: due, arrival: None, pipeline: None },
+            own_priority: record.spec.priority,
             cancelled_at: None,
             held: BTreeMap::new(),
             failures: BTreeMap::new(),
@@ -267,7 +288,8 @@
     pub fn advance(&mut self, to: JobState, now: Time) -> bool {
         let allowed = matches!(
             (self.state, to),
-            (JobState::Live, JobState::Cancelling | JobState::Closing)
+            (JobState::Awaiting, JobState::Live | JobState::Cancelling)
+                | (JobState::Live, JobState::Cancelling | JobState::Closing)
                 | (JobState::Cancelling, JobState::Closing)
                 | (JobState::Closing, JobState::Cancelling | JobState::Closed)
         );
@@ -319,10 +341,34 @@
 
     /// An arrival gives it a deadline, or none any more: never later than its own.
     pub fn plan_due(&mut self, due: Option<Time>) {
-        self.due = match (self.own_due, due) {
-            (Some(own), Some(due)) => Some(own.min(due)),
-            (own, due) => own.or(due),
-        };
+        self.dues.arrival = due;
+        self.due = self.dues.soonest();
+    }
+
+    /// What the jobs that await it need: a deadline, or none any more, and a priority that is not below its own.
+    pub fn need(&mut self, due: Option<Time>, priority: Priority) {
+        self.dues.pipeline = due;
+        self.due = self.dues.soonest();
+        let priority = priority.max(self.own_priority);
+        if self.spec.priority != priority {
+            Arc::make_mut(&mut self.spec).priority = priority;
+        }
+    }
+
+    /// Its own deadline, whoever else gives it one.
+    pub fn own_due(&self) -> Option<Time> {
+        self.dues.own
+    }
+
+    /// Whether tasks of it wait for a place, and not for another job.
+    pub fn queued(&self) -> bool {
+        !self.waiting.is_empty() && self.state != JobState::Awaiting
+    }
+
+    /// All that it awaits is done, the last at that time of day: from then on its times count.
+    pub fn make_eligible(&mut self, at_wall: u64, now: Time, wall: u64) {
+        self.eligible_at = self.eligible_at.max(now.saturating_sub(wall.saturating_sub(at_wall)));
+        self.advance(JobState::Live, now);
     }
 
     /// Whether any of its tasks has a place or had one to its end.
@@ -339,7 +385,7 @@
             _ => 1,
         };
         let after = if self.spec.kind == Kind::Gang { PROMISE_GANG_MS } else { PROMISE_MS };
-        placed < part && now >= self.accepted_at + after
+        placed < part && now >= self.eligible_at + after
     }
 
     /// Whether its user has cancelled it.
--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -5,6 +5,7 @@
 use crate::settings::State;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use swiftsail_pipelines::Fate;
 
 /// Prefixes and keys in the state service.
 pub mod keys {
@@ -20,6 +21,8 @@
     pub const PLUGINS: &str = "plug/";
     /// Records that outlive controllers: tiers, dispatch, loans.
     pub const ORDER: &str = "order/";
+    /// The form of records in use, once every controller reads it: see `node::rollout`.
+    pub const FORM: &str = "term/form";
     /// The leader's key.
     pub const LEADER: &str = "term/leader";
     /// Prefix of the leader's key.
@@ -57,30 +60,90 @@
 
 /// A live job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "Written", into = "Written")]
 pub struct JobRecord {
     /// Whether its user has cancelled it.
-    #[serde(rename = "x", default)]
     pub cancelled: bool,
     /// Time of day of its cancellation, ms.
-    #[serde(rename = "xat", default)]
     pub cancelled_wall: u64,
     /// Time of day of its acceptance, ms.
-    #[serde(rename = "at")]
     pub accepted_wall: u64,
     /// Tasks in a chunk: fixed at acceptance, so that no change of settings moves a task.
-    #[serde(rename = "c")]
     pub chunk_tasks: u32,
     /// Number that tells this writing from any other.
-    #[serde(rename = "w", default)]
     pub nonce: u64,
     /// Name of the tier that it was accepted into, where tiers are held in the state service.
-    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub tier: Option<String>,
+    /// The jobs that have to be done before any task of it starts.
+    pub awaits: Vec<JobId>,
     /// What it asks for.
-    #[serde(rename = "j")]
     pub spec: Spec,
 }
 
+/// A live job as it is written. What a job that awaits others asks for stands under another name than ever before:
+/// an earlier version, which would start it at once, cannot read it and leaves it as it is.
+#[derive(Serialize, Deserialize)]
+struct Written {
+    #[serde(rename = "x", default)]
+    cancelled: bool,
+    #[serde(rename = "xat", default)]
+    cancelled_wall: u64,
+    #[serde(rename = "at")]
+    accepted_wall: u64,
+    #[serde(rename = "c")]
+    chunk_tasks: u32,
+    #[serde(rename = "w", default)]
+    nonce: u64,
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    tier: Option<String>,
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    spec: Option<Spec>,
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    waiting: Option<(Vec<String>, Spec)>,
+}
+
+impl TryFrom<Written> for JobRecord {
+    type Error = &'static str;
+
+    fn try_from(w: Written) -> Result<JobRecord, &'static str> {
+        let (awaits, spec) = match (w.spec, w.waiting) {
+            (Some(spec), None) => (Vec::new(), spec),
+            (None, Some((awaits, spec))) => (awaits.into_iter().map(JobId::from).collect(), spec),
+            _ => return Err("a job's record asks for nothing, or twice"),
+        };
+        Ok(JobRecord {
+            cancelled: w.cancelled,
+            cancelled_wall: w.cancelled_wall,
+            accepted_wall: w.accepted_wall,
+            chunk_tasks: w.chunk_tasks,
+            nonce: w.nonce,
+            tier: w.tier,
+            awaits,
+            spec,
+        })
+    }
+}
+
+impl From<JobRecord> for Written {
+    fn from(r: JobRecord) -> Written {
+        let awaits: Vec<String> = r.awaits.iter().map(|id| id.to_string()).collect();
+        let (spec, waiting) = match awaits.is_empty() {
+            true => (Some(r.spec), None),
+            false => (None, Some((awaits, r.spec))),
+        };
+        Written {
+            cancelled: r.cancelled,
+            cancelled_wall: r.cancelled_wall,
+            accepted_wall: r.accepted_wall,
+            chunk_tasks: r.chunk_tasks,
+            nonce: r.nonce,
+            tier: r.tier,
+            spec,
+            waiting,
+        }
+    }
+}
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
@@ -101,6 +164,19 @@
     /// Tasks done.
     #[serde(rename = "n")]
     pub done: u32,
+    /// Time of day of the end, ms: from then on the times of what awaits it count. None: an earlier version's.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub at_wall: Option<u64>,
+}
+
+impl FinalRecord {
+    /// What follows from it for jobs that await this one; of an earlier version's the time is that of the look.
+    pub fn fate(&self, now_wall: u64) -> Fate {
+        match self.ending {
+            Ending::Done => Fate::Done(self.at_wall.unwrap_or(now_wall)),
+            Ending::Cancelled => Fate::CalledOff,
+        }
+    }
 }
 
 /// What the key of an accepted job holds.
--- a/crates/core/src/node/admin.rs
+++ b/crates/core/src/node/admin.rs
@@ -136,6 +136,7 @@
             jobs.push(json!({
                 "job": id,
                 "class": record.spec.class,
+                "awaits": record.awaits.iter().map(|id| id.to_string()).collect::<Vec<_>>(),
                 "team": record.spec.team,
                 "kind": record.spec.kind,
                 "priority": record.spec.priority,
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use swiftsail_wire::cloud::Types;
 use swiftsail_wire::state::{Change, Commit, When};
+use swiftsail_wire::users::Status;
 
 /// What a store call was for; `era` tells answers to an earlier term.
 #[derive(Debug, Clone, PartialEq)]
@@ -77,12 +78,18 @@
     FollowOrder,
     /// Read what became of a job that serves an arrival.
     ReadEnded { job: JobId, last_place: bool },
+    /// Read the end of a job that others await, as a leader.
+    ReadAwaited { era: u64, job: JobId, last_place: bool },
+    /// Read a job that stands before another, for those who asked about that one.
+    WalkTo { walk: u64, job: JobId, last_place: bool },
+    /// Note that every controller knows the form of records.
+    RaiseForm,
     /// Read them as a new leader.
     LoadOrder { era: u64 },
     /// Write some of them.
     WriteOrder { era: u64, nonce: u64 },
     /// Create a job.
-    Create { request: RequestId, job: JobId },
+    Create { request: RequestId, job: JobId, status: Status },
     /// Read a job for those who asked.
     ReadJob(JobId),
     /// Read a job's final record for those who asked.
@@ -111,6 +118,7 @@
             | ResolveChunk { era, .. }
             | Sweep { era }
             | LoadOrder { era }
+            | ReadAwaited { era, .. }
             | WriteOrder { era, .. }
             | Retire { era, .. } => Some(*era),
             Amounts { era, .. } => *era,
@@ -194,6 +202,13 @@
             Purpose::ReadEnded { job, last_place } => {
                 self.ended_read(&job, last_place, end.outcome);
             }
+            Purpose::ReadAwaited { job, last_place, .. } => {
+                self.awaited_read(&job, last_place, &end.outcome);
+            }
+            Purpose::WalkTo { walk, job, last_place } => {
+                self.walked_to(walk, &job, last_place, &end.outcome);
+            }
+            Purpose::RaiseForm => self.on_form_raised(&end.outcome),
             Purpose::WriteOrder { nonce, .. } => self.order_written(nonce, &end.outcome),
             Purpose::ReadAmounts { token } => self.desk_read(token, &end.outcome),
             Purpose::Amounts { era, page, by } => {
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -111,7 +111,7 @@
             urgency = Urgency::Work;
             // One change: the record takes the job's own place, and moves to its last one when the
             // state service has nothing better to do; so do the chunks go.
-            let record = FinalRecord { ending, done: done_count(job) };
+            let record = FinalRecord { ending, done: done_count(job), at_wall: Some(ctx.wall) };
             commit.apply.push(put(keys::job(id), &record));
             flight.ended = Some(record);
             job.advance(JobState::Closing, now);
@@ -235,7 +235,7 @@
     /// The outcome of a job's transaction is known: committed at a revision, or never to be. What
     /// it bound and was not committed stays with the ledger.
     fn settle(&mut self, id: &JobId, committed: Option<u64>, ctx: &mut Ctx) {
-        let now = ctx.now;
+        let (now, wall) = (ctx.now, ctx.wall);
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(flight) = job.flight.take() else { return };
         let Some(epoch) = committed else {
@@ -258,6 +258,8 @@
                 self.left_over.extend(chunks);
                 tracing::debug!(job = %id, cancelled = job.cancelled(), "job over");
             }
+            // Committed, and not before: whoever awaits it begins by that.
+            self.after_end(id, record.fate(wall), now, wall);
             return;
         }
         for chunk in &flight.chunks {
--- a/crates/core/src/node/effort.rs
+++ b/crates/core/src/node/effort.rs
@@ -95,7 +95,7 @@
     /// Bounds of the next pass.
     pub(super) fn bounds(&self) -> Bounds {
         let machines = self.leader.as_ref().map_or(0, |l| l.machines.len());
-        let waits = |l: &Tables| l.jobs.values().filter(|j| !j.waiting.is_empty()).count();
+        let waits = |l: &Tables| l.jobs.values().filter(|j| j.queued()).count();
         let open = self.leader.as_ref().map_or(0, waits).max(1);
         // Each job that waits looks at every place, twice if it does not pass. Hundreds of jobs of one task
         // at thousands of lines took longer than the grant lasts.
--- a/crates/core/src/node/lead.rs
+++ b/crates/core/src/node/lead.rs
@@ -152,6 +152,8 @@
                     let held = page.pairs.iter().find(|p| p.key == keys::LEADER).and_then(|p| {
                         Some((serde_json::from_value(p.value.clone()).ok()?, p.stamp))
                     });
+                    self.rollout
+                        .saw(page.pairs.iter().find(|p| p.key == keys::FORM).map(|p| &p.value));
                     self.held.opened(page.epoch);
                     // Read before the key was written, it says nothing of it.
                     if held.is_some() || !self.term.holds() || page.epoch >= self.term.token {
@@ -164,6 +166,9 @@
                 self.following = false;
                 if let Outcome::News(news) = end.outcome {
                     for item in &news.news {
+                        if item.write.as_deref() == Some(keys::FORM) {
+                            self.rollout.saw(Some(&item.value));
+                        }
                         if item.write.as_deref() == Some(keys::LEADER)
                             && let Ok(record) = serde_json::from_value(item.value.clone())
                         {
@@ -290,7 +295,7 @@
             return;
         }
         let now = self.now.steady;
-        leader.index(now);
+        leader.index(now, self.now.wall);
         leader.since = now;
         for (id, note) in self.held.notes() {
             leader.cancelled_elsewhere(id, note.wall, now, self.now.wall);
--- a/crates/core/src/node/mirror.rs
+++ b/crates/core/src/node/mirror.rs
@@ -9,6 +9,8 @@
 use crate::job::{FinalRecord, JobId, StoredJob, keys};
 use crate::store::{Call, Outcome, Patience, Urgency};
 use std::collections::HashMap;
+use std::sync::Arc;
+use swiftsail_pipelines::{Fate, Seen};
 use swiftsail_wire::state::{Item, Page};
 
 /// How much of the jobs is known.
@@ -40,6 +42,8 @@
 pub(super) struct Mirror {
     known: Known,
     jobs: HashMap<JobId, Shown>,
+    /// What those that are not over await.
+    awaits: HashMap<JobId, Arc<[JobId]>>,
     /// Jobs that were seen to be over, for the cache of final answers.
     over: Vec<(JobId, FinalRecord)>,
     most: usize,
@@ -59,6 +63,7 @@
         Mirror {
             known: Known::Nothing,
             jobs: HashMap::new(),
+            awaits: HashMap::new(),
             over: Vec::new(),
             most,
             current: None,
@@ -80,6 +85,7 @@
         if allowed {
             if to == Known::Nothing {
                 self.jobs.clear();
+                self.awaits.clear();
             }
             self.known = to;
         }
@@ -96,6 +102,23 @@
         self.serves() && self.jobs.contains_key(id)
     }
 
+    /// What a job that is not over awaits, if it awaits any.
+    pub fn awaits(&self, id: &str) -> Option<Arc<[JobId]>> {
+        self.awaits.get(id).cloned()
+    }
+
+    /// What the latest read says of a job, for what comes after it; none: nothing.
+    pub fn seen(&self, id: &str, wall: u64) -> Option<Seen> {
+        match self.jobs.get(id).filter(|_| self.serves())? {
+            Shown::Live => {
+                Some(Seen::Live(self.awaits(id).as_deref().unwrap_or_default().to_vec()))
+            }
+            Shown::Cancelled(..) => Some(Seen::Ended(Fate::CalledOff)),
+            Shown::Over(record) => Some(Seen::Ended(record.fate(wall))),
+            Shown::Unread => None,
+        }
+    }
+
     /// Submissions that wait for a look whether they are repeats.
     pub fn creations(&self) -> usize {
         let waiting = self.next.iter().chain(self.current.iter().flatten());
@@ -125,7 +148,9 @@
             match (&item.write, &item.remove) {
                 (Some(key), _) => self.note(key, &item.value, item.stamp),
                 (None, Some(key)) => {
-                    self.jobs.remove(key.strip_prefix(keys::JOBS).unwrap_or(key));
+                    let id = key.strip_prefix(keys::JOBS).unwrap_or(key);
+                    self.jobs.remove(id);
+                    self.awaits.remove(id);
                 }
                 (None, None) => {}
             }
@@ -146,7 +171,14 @@
 
     fn note(&mut self, key: &str, value: &serde_json::Value, stamp: u64) {
         let Some(id) = key.strip_prefix(keys::JOBS) else { return };
-        let shown = match StoredJob::read(value) {
+        let read = StoredJob::read(value);
+        match &read {
+            Some(StoredJob::Live(record)) if !record.awaits.is_empty() => {
+                self.awaits.insert(JobId::from(id), record.awaits.as_slice().into());
+            }
+            _ => drop(self.awaits.remove(id)),
+        }
+        let shown = match read {
             Some(StoredJob::Live(record)) if record.cancelled => {
                 Shown::Cancelled(stamp, record.cancelled_wall)
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -29,10 +29,12 @@
 mod owed;
 mod passes;
 mod peers;
+mod pipelines;
 mod plugins;
 mod reach;
 mod relay;
 mod requests;
+mod rollout;
 mod standstill;
 mod status;
 mod steer;
@@ -59,12 +61,14 @@
 use order::Order;
 use owed::Owed;
 use peers::Peer;
+use pipelines::Walks;
 use plugins::Plugins;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use reach::Reach;
 use relay::Relays;
 use requests::Requests;
+use rollout::Rollout;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use swiftsail_membership::Probe;
@@ -233,6 +237,10 @@
     rest_until: Time,
     status_at: Time,
     requests: Requests,
+    /// Questions under way about what comes before a job.
+    walks: Walks,
+    /// Whether every controller knows the form of records that this one writes.
+    rollout: Rollout,
     mirror: Mirror,
     finals: HashMap<JobId, FinalRecord>,
     final_order: VecDeque<JobId>,
@@ -309,6 +317,8 @@
             rest_until: 0,
             status_at: 0,
             requests: Requests::default(),
+            walks: Walks::default(),
+            rollout: Rollout::default(),
             mirror: Mirror::new(budget.mirrored),
             finals: HashMap::new(),
             final_order: VecDeque::new(),
@@ -465,6 +475,7 @@
         self.tend_desk();
         self.tend_loans();
         self.tend_dispatch();
+        self.tend_pipelines();
         self.tend_fleet();
         self.end_jobs();
         if let Some(leader) = &mut self.leader {
--- a/crates/core/src/node/order.rs
+++ b/crates/core/src/node/order.rs
@@ -5,7 +5,7 @@
 use super::{Node, Purpose, Reply, RequestId};
 use crate::Time;
 use crate::constants::*;
-use crate::job::{JobId, keys};
+use crate::job::{Job, JobId, keys};
 use crate::settings::State;
 use crate::store::{Call, Outcome, Patience, Urgency};
 use crate::tables::{Tables, facts_of};
@@ -463,7 +463,7 @@
         let table = &self.order.tiers;
         let judged = table.judge(&facts_of(&job.id, &job.spec));
         let line = leader.line(&self.settings.settings.teams);
-        let waits = |id: &str| leader.jobs.get(id).is_some_and(|j| !j.waiting.is_empty());
+        let waits = |id: &str| leader.jobs.get(id).is_some_and(Job::queued);
         let ahead = line.iter().take_while(|p| p.id() != id).filter(|p| waits(p.id())).count();
         let place = line.iter().find(|p| p.id() == id);
         Reply::json(
@@ -496,7 +496,7 @@
         let usage = self.usage(teams);
         let mut found: std::collections::BTreeMap<u8, Queue> = Default::default();
         for place in self.line(teams) {
-            let Some(job) = self.jobs.get(place.id()).filter(|j| !j.waiting.is_empty()) else {
+            let Some(job) = self.jobs.get(place.id()).filter(|j| j.queued()) else {
                 continue;
             };
             let team = teams.iter().position(|t| t.name == job.spec.team);
--- a/crates/core/src/node/passes.rs
+++ b/crates/core/src/node/passes.rs
@@ -282,7 +282,7 @@
 fn promote(tables: &mut Tables, guard: &mut Guard, view: View) -> usize {
     let lease = view.lease_ms();
     let mut bound = 0;
-    let waits = |j: &&Job| j.tier.ordered && !j.waiting.is_empty() && !j.cancelled();
+    let waits = |j: &&Job| j.tier.ordered && j.queued() && !j.cancelled();
     let core: Vec<(Arc<Spec>, Tiers)> =
         tables.jobs.values().filter(waits).map(|j| (j.spec.clone(), j.tier)).collect();
     for slot in tables.lines.headless(&tables.jobs) {
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -40,6 +40,7 @@
             read: self.leader.as_ref().map_or(0, |l| l.follow_from),
             brief,
             owed: self.tell_owed(),
+            form: FORM,
             ..Beat::default()
         };
         self.held.fill(&mut beat, self.now.steady);
@@ -50,6 +51,7 @@
         if !self.settings.others.iter().any(|o| o.host_name == beat.node) {
             return;
         }
+        self.rollout.hear(&beat.node, beat.form);
         let from = self.vouched_from();
         let lead = self.leader.as_ref().map(|l| Lead { token: l.token, read: l.follow_from, from });
         let heard = self.held.hear(&self.settings.host_name, self.process, beat, lead);
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -90,7 +90,7 @@
     }
 }
 
-fn problem(status: u16, error: String) -> Reply {
+pub(super) fn problem(status: u16, error: String) -> Reply {
     Reply::new(status, &Problem { error })
 }
 
@@ -162,6 +162,12 @@
             let intent = Intent::Known(Reply::later("the job's record is being written"));
             return self.look_up(id, Waiter { request, intent });
         }
+        if !submission.awaits.is_empty() && !self.rollout.raised() {
+            self.want_form();
+            let intent =
+                Intent::Known(Reply::later("a controller of an earlier version still serves"));
+            return self.look_up(id, Waiter { request, intent });
+        }
         let calls = self.budget.calls.saturating_sub(self.mirror.creations());
         if self.store.away() || !self.store.has_room(calls) {
             return self.reply(request, Reply::later("the state service does not answer"));
@@ -169,6 +175,7 @@
         let record = Box::new(JobRecord {
             cancelled: false,
             cancelled_wall: 0,
+            awaits: submission.awaits,
             accepted_wall: self.now.wall,
             chunk_tasks: self.chunk_tasks(),
             nonce: 0,
@@ -177,15 +184,30 @@
         });
         // A repeat takes a change for nothing, as many as what is new. Where it would have to wait for its turn, a
         // read that serves all who wait tells the one from the other.
-        let waits = self.store.changes_wait(self.now.steady);
+        // What awaits others is looked up in any case: the same read tells what has become of those.
+        let waits = !record.awaits.is_empty() || self.store.changes_wait(self.now.steady);
         if waits && self.mirror.serves() && self.mirrored() < self.budget.polls {
             return self.ask_mirror(id, Waiter { request, intent: Intent::Create(record) });
         }
-        self.create(&id, request, &record);
+        self.accept(&id, request, record);
+    }
+
+    /// Accepts a job, unless it is known, or awaits one that is not.
+    fn accept(&mut self, id: &JobId, request: RequestId, record: Box<JobRecord>) {
+        match record.awaits.is_empty() {
+            true => self.create(id, request, &record, Status::Pending),
+            false => self.accept_after(id, request, record),
+        }
     }
 
-    /// Accepts a job, unless it is known.
-    fn create(&mut self, id: &JobId, request: RequestId, record: &JobRecord) {
+    /// Accepts a job, unless it is known. `status`: what its user is told then.
+    pub(super) fn create(
+        &mut self,
+        id: &JobId,
+        request: RequestId,
+        record: &JobRecord,
+        status: Status,
+    ) {
         let commit = Commit {
             when: vec![
                 When { key: keys::job(id), stamp: 0 },
@@ -194,7 +216,7 @@
             apply: vec![super::chunks::put(keys::job(id), record)],
         };
         let until = self.now.steady + USER_STORE_TIMEOUT_MS;
-        let purpose = Purpose::Create { request, job: id.clone() };
+        let purpose = Purpose::Create { request, job: id.clone(), status };
         self.store.push(Call::Commit(commit), purpose, Urgency::Bind, Patience::Once(until));
     }
 
@@ -209,7 +231,7 @@
     /// A read of what has changed shows no such job: over and moved, or never accepted.
     pub(super) fn not_live(&mut self, id: &JobId, waiter: Waiter) {
         match waiter.intent {
-            Intent::Create(record) => self.create(id, waiter.request, &record),
+            Intent::Create(record) => self.accept(id, waiter.request, record),
             _ => self.read_final(id, waiter),
         }
     }
@@ -238,7 +260,7 @@
 
     pub(super) fn read_job(&mut self, id: &JobId, waiter: Waiter) {
         if let Intent::Create(record) = waiter.intent {
-            return self.create(id, waiter.request, &record);
+            return self.accept(id, waiter.request, record);
         }
         if self.store.away() || !self.store.has_room(self.budget.calls) {
             let reply = Reply::later("the state service does not answer");
@@ -256,23 +278,43 @@
 
     /// Tells what a job's key shows.
     pub(super) fn tell_shown(&mut self, id: &JobId, shown: Shown, waiter: Waiter) {
-        let counts = self.counts_of(id);
-        let status = match shown {
+        match shown {
             Shown::Over(record) => {
                 self.remember_final(id, record);
-                return self.reply(waiter.request, final_reply(id, &record));
+                self.reply(waiter.request, final_reply(id, &record));
             }
             Shown::Cancelled(revision, wall) => {
+                let counts = self.counts_of(id);
                 let told = Untold::new(id, revision, waiter.request, Some(counts));
-                return self.tell_cancelled(told, wall);
+                self.tell_cancelled(told, wall);
             }
-            Shown::Live if counts.1 > 0 => Status::Running,
-            Shown::Live => Status::Pending,
-            Shown::Unread => return self.read_job(id, waiter),
-        };
+            Shown::Live => match self.mirror.awaits(id) {
+                None => self.tell_live(id, waiter),
+                Some(awaits) => self.answer_after(id, &awaits, waiter),
+            },
+            Shown::Unread => self.read_job(id, waiter),
+        }
+    }
+
+    /// Tells of a job that is neither over nor cancelled nor called off.
+    pub(super) fn tell_live(&mut self, id: &JobId, waiter: Waiter) {
+        let counts = self.counts_of(id);
+        let status = if counts.1 > 0 { Status::Running } else { Status::Pending };
         self.reply(waiter.request, Reply::new(200, &answer(id, status, Some(counts))));
     }
 
+    /// Tells of a job that is called off with one before it. Nothing of it has ever run, nor will: no controller has to
+    /// know more than the records say.
+    pub(super) fn tell_called_off(&mut self, id: &JobId, waiter: Waiter) {
+        let reply = Reply::new(200, &answer(id, Status::Cancelled, Some((0, 0))));
+        self.reply(waiter.request, reply);
+    }
+
+    /// A submission is refused, unless its job is known: then it is a repeat.
+    pub(super) fn refuse_unless_known(&mut self, id: JobId, request: RequestId, refusal: Reply) {
+        self.look_up(id, Waiter { request, intent: Intent::Known(refusal) });
+    }
+
     /// A job's key was read and is not there: its final record tells.
     pub(super) fn read_final(&mut self, id: &JobId, waiter: Waiter) {
         match self.requests.reads.get_mut(id) {
@@ -301,10 +343,10 @@
 
     pub(super) fn on_user_store(&mut self, end: Finished<Purpose>) {
         match end.purpose {
-            Purpose::Create { request, job } => match end.outcome {
+            Purpose::Create { request, job, status } => match end.outcome {
                 Outcome::Committed(_) => {
                     tracing::info!(job = %job, "job accepted");
-                    let reply = Reply::new(201, &answer(&job, Status::Pending, None));
+                    let reply = Reply::new(201, &answer(&job, status, None));
                     self.reply(request, reply);
                 }
                 Outcome::Conflict(_) => {
@@ -443,7 +485,6 @@
 
     fn on_live(&mut self, id: &JobId, record: JobRecord, stamp: u64) {
         let counts = self.counts_of(id);
-        let status = if counts.1 > 0 { Status::Running } else { Status::Pending };
         let mut cancels = Vec::new();
         for waiter in self.read_over(id) {
             match waiter.intent {
@@ -454,10 +495,8 @@
                     let told = Untold::new(id, stamp, waiter.request, Some(counts));
                     self.tell_cancelled(told, record.cancelled_wall);
                 }
-                _ => {
-                    let reply = Reply::new(200, &answer(id, status, Some(counts)));
-                    self.reply(waiter.request, reply);
-                }
+                _ if record.awaits.is_empty() => self.tell_live(id, waiter),
+                _ => self.answer_after(id, &record.awaits, waiter),
             }
         }
         if cancels.is_empty() {
--- a/crates/core/src/node/status.rs
+++ b/crates/core/src/node/status.rs
@@ -19,7 +19,7 @@
         let (mut waiting, mut lined, mut held, mut binding, mut bound) = (0, 0, 0, 0, 0);
         let (mut fetching, mut running, mut exited) = (0, 0, 0);
         for job in leader.jobs.values() {
-            waiting += job.waiting.len();
+            waiting += if job.queued() { job.waiting.len() } else { 0 };
             lined += leader.lines.of(&job.id);
             held += job.held.len();
             for attempt in job.attempts.values() {
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -330,7 +330,7 @@
     let (mut jobs, mut waiting, mut running, mut late) = (0, 0, 0, 0);
     for job in tables.jobs.values().filter(|j| j.spec.class == class) {
         jobs += 1;
-        waiting += job.waiting.len() as i64;
+        waiting += if job.queued() { job.waiting.len() as i64 } else { 0 };
         running += i64::from(job.counts().1);
         late += i64::from(job.missed);
     }
@@ -352,7 +352,7 @@
     let (mut late, mut waiting, mut running) = (0, 0, 0);
     for job in tables.jobs.values() {
         late += usize::from(job.missed);
-        waiting += job.waiting.len();
+        waiting += if job.queued() { job.waiting.len() } else { 0 };
         running += job.counts().1 as usize;
     }
     let (mut ready, mut free, mut spot, mut cpus) = (0, 0.0, 0.0, 0.0);
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -24,7 +24,7 @@
         ("wait", Some(s)) => Some(s * MS_PER_S + run_ms),
         _ => None,
     });
-    within.reduce(f64::min).map(|ms| job.accepted_at + ms as u64)
+    within.reduce(f64::min).map(|ms| job.eligible_at + ms as u64)
 }
 
 /// What a job wants of its team's limit; `waiting`: tasks that may be placed.
@@ -52,7 +52,7 @@
         each: amounts_of(&job.spec),
         weight: amounts_of(&job.spec).cpus.number(),
         run_ms,
-        age_ms: now.saturating_sub(job.accepted_at) as f64,
+        age_ms: now.saturating_sub(job.eligible_at) as f64,
         begun: job.begun(),
     }
 }
--- a/crates/core/src/placement/places.rs
+++ b/crates/core/src/placement/places.rs
@@ -206,7 +206,7 @@
             if job.spec.kind == Kind::Service && !job.cancelled() {
                 used.entry(&job.spec.image).or_insert((0, &job.spec)).0 += job.spec.tasks;
             }
-            if !job.waiting.is_empty() {
+            if job.queued() {
                 self.images.number(&job.spec.image);
             }
         }
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -34,7 +34,7 @@
         let now = self.view.now;
         let soon = self.view.settings.settings.workers.report_s * PREEMPT_REPORTS * MS_PER_S;
         for c in choosers.iter_mut().filter(|c| c.is_service() && c.left > 0) {
-            let since = self.tables.jobs.get(&c.id).map_or(now, |j| j.accepted_at);
+            let since = self.tables.jobs.get(&c.id).map_or(now, |j| j.eligible_at);
             let within = self.wait_aim_ms(c).map_or(0.0, |ms| ms * LEND_PRESS_PART);
             c.presses = now as f64 >= since as f64 + within.max(LEND_PRESS_MS);
             c.search(true);
@@ -93,7 +93,7 @@
         let mut most = RECLAIM_MOST;
         for c in choosers.iter_mut().filter(|c| !c.is_service() && c.left > 0) {
             let waits =
-                self.tables.jobs.get(&c.id).map_or(0, |j| now.saturating_sub(j.accepted_at));
+                self.tables.jobs.get(&c.id).map_or(0, |j| now.saturating_sub(j.eligible_at));
             c.within = within && waits as f64 >= lent;
             let lately =
                 self.tables.preempting.get(&c.id).is_some_and(|(at, _)| now < at + PREEMPT_WAIT_MS);
@@ -381,7 +381,7 @@
         else {
             return;
         };
-        let waits = now.saturating_sub(job.accepted_at) as f64;
+        let waits = now.saturating_sub(job.eligible_at) as f64;
         let (patience, lent) = self.patience();
         c.within = within && waits >= lent;
         if let Some((at, _)) = self.tables.preempting.get(&c.id)
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -119,6 +119,45 @@
     pub value_kb: f64,
     /// Puts and deletes in a transaction.
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Limits that the state service will have; what is not named stays.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct NextState {
+    /// Requests a second.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Puts and deletes a second.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value, KiB.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Puts and deletes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl State {
+    /// Keeps to the lower of the limits that hold now and those to come: when they change is not told, and what is
+    /// written now has to be written again then. A limit to come of nothing at all is not believed.
+    fn keep_to_lower(&mut self) {
+        let Some(next) = self.next else { return };
+        let lower = |now: &mut f64, next: Option<f64>| {
+            if let Some(next) = next.filter(|n| n.is_finite() && *n > 0.0) {
+                *now = now.min(next);
+            }
+        };
+        lower(&mut self.rps, next.rps);
+        lower(&mut self.write_rps, next.write_rps);
+        lower(&mut self.value_kb, next.value_kb);
+        if let Some(ops) = next.txn_ops.filter(|ops| *ops > 0) {
+            self.txn_ops = self.txn_ops.min(ops);
+        }
+    }
 }
 
 /// Limits of the cloud.
@@ -198,8 +237,9 @@
 
     /// Reads and checks a text; `file` names it in errors.
     pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
-        let found: Settings = toml::from_str(text)
+        let mut found: Settings = toml::from_str(text)
             .map_err(|cause| SettingsError::Form { file: file.into(), cause: Box::new(cause) })?;
+        found.settings.state.keep_to_lower();
         found.check(file)?;
         Ok(found)
     }
--- a/crates/core/src/tables/line.rs
+++ b/crates/core/src/tables/line.rs
@@ -39,6 +39,11 @@
     }
 }
 
+/// Whether a job is in the line: it is not cancelled, and awaits no other.
+fn may_wait(job: &Job) -> bool {
+    !job.cancelled() && job.state() != JobState::Awaiting
+}
+
 impl Tables {
     /// Another table of tiers is in force: every job finds its place in it, by its record.
     pub fn set_tiers(&mut self, tiers: Rc<Table>) {
@@ -53,7 +58,7 @@
     pub fn line(&self, teams: &[Team]) -> Vec<Place<'_>> {
         let guarantees: HashMap<&str, (f64, f64)> =
             teams.iter().map(|t| (t.name.as_str(), (t.cpus, t.gpus))).collect();
-        let entries = self.jobs.iter().filter(|(_, j)| !j.cancelled()).map(|(id, job)| {
+        let entries = self.jobs.iter().filter(|(_, j)| may_wait(j)).map(|(id, job)| {
             let tasks = f64::from(job.spec.tasks);
             Entry {
                 id,
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -5,6 +5,7 @@
 mod happenings;
 mod line;
 mod lines;
+mod pipelines;
 mod rentals;
 mod reports;
 mod rooms;
@@ -29,6 +30,7 @@
 use swiftsail_amounts::Amounts;
 use swiftsail_loans::Loans;
 use swiftsail_membership::{Detector, Seen, State};
+use swiftsail_pipelines::{Fate, Graph};
 use swiftsail_tiers::Table;
 use swiftsail_wire::cloud::{ListedState, Listing};
 use swiftsail_wire::state::{News, Page};
@@ -107,6 +109,12 @@
     pub looked_at: Time,
     /// Zones in which a controller is heard, the leader's own among them.
     pub reached: BTreeSet<String>,
+    /// Jobs that await others.
+    pub pipelines: Graph,
+    /// When their deadlines were last worked out.
+    pub needed_at: Time,
+    /// Jobs that others await and that are not in the tables, whose end is being read.
+    pub(crate) asked_after: BTreeSet<JobId>,
     /// Accelerators lent.
     pub loans: Loans,
     /// The table of tiers in force.
@@ -160,6 +168,9 @@
             members: None,
             looked_at: 0,
             reached: BTreeSet::new(),
+            pipelines: Graph::default(),
+            needed_at: 0,
+            asked_after: BTreeSet::new(),
             loans: Loans::default(),
             tiers: Rc::default(),
             lease_ms: 0.0,
@@ -189,9 +200,11 @@
         }
     }
 
-    /// After loading: machines that bindings name are expected.
-    pub fn index(&mut self, now: Time) {
+    /// After loading: machines that bindings name are expected, and jobs that await others stand where those leave
+    /// them, as far as the tables tell.
+    pub fn index(&mut self, now: Time, wall: u64) {
         self.loading = false;
+        self.settle_pipelines(now, wall);
         for (id, job) in &self.jobs {
             for (task, attempt) in &job.attempts {
                 let machine = self
@@ -225,6 +238,8 @@
                 } else if self.jobs.get(&id).is_some_and(back) {
                     self.jobs.remove(&id);
                     self.lines.drop_job(&id);
+                    self.after_end(&id, record.fate(wall), now, wall);
+                    self.pipelines.forget(&id);
                 }
                 return;
             }
@@ -233,6 +248,7 @@
                 return;
             }
         };
+        self.pipelines.add(&id, &record.awaits);
         let job = self.jobs.entry(id.clone()).or_insert_with(|| {
             tracing::debug!(job = %id, tasks = record.spec.tasks, "job known");
             self.happenings.note("job", "accepted", &id, Some(&record.spec.class));
@@ -248,6 +264,12 @@
             }
             self.stir = true;
         }
+        if job.cancelled() {
+            self.after_end(&id, Fate::CalledOff, now, wall);
+        }
+        if !self.loading && !record.awaits.is_empty() {
+            self.call_off_after(&id, now, wall);
+        }
     }
 
     /// Changes of jobs, seen by the watch or read beside it: the one may tell what the other has told, of a job
@@ -268,8 +290,9 @@
         let Some(job) = self.jobs.get_mut(id).filter(|j| !j.cancelled()) else { return };
         let passed = wall.saturating_sub(at_wall);
         if job.advance(JobState::Cancelling, now.saturating_sub(passed)) {
-            tracing::info!(job = %id, "cancelled, by another controller's word");
+            tracing::info!(job = %id, "cancelled, by a controller's word");
             self.stir = true;
+            self.after_end(id, Fate::CalledOff, now, wall);
         }
     }
 
@@ -508,6 +531,7 @@
         self.history.forget(id);
         self.preempting.remove(id);
         self.loans.forget(id);
+        self.pipelines.forget(id);
         Some(job)
     }
 
--- a/crates/core/src/tables/reports.rs
+++ b/crates/core/src/tables/reports.rs
@@ -290,7 +290,7 @@
                     if stage == Stage::Running {
                         let name = join_task(&job_id, task);
                         self.happenings.note("task", "runs", name, Some(id));
-                        let waited_ms = now.saturating_sub(job.accepted_at);
+                        let waited_ms = now.saturating_sub(job.eligible_at);
                         let bound_ms = now.saturating_sub(attempt.since);
                         tracing::debug!(job = %job_id, task, machine = %id, class = %job.spec.class, waited_ms, bound_ms, "task runs");
                     }
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod beside_room;
 mod inversions;
 mod looks;
+mod pipelines;
 mod processor;
 mod rules;
 mod scene;
--- /dev/null
+++ b/crates/standin/src/world/pipelines.rs
@@ -0,0 +1,70 @@
+//! Pipelines: what users expect of jobs that await others.
+
+use super::World;
+use std::collections::HashSet;
+
+impl World {
+    /// When the user of a job before this one, directly or through others, was first told that it is cancelled.
+    pub fn told_before(&self, id: &str) -> Option<u64> {
+        let mut next = vec![id];
+        let (mut seen, mut told) = (HashSet::new(), None);
+        while let Some(id) = next.pop() {
+            let Some(job) = self.jobs.iter().find(|j| j.id == id) else { continue };
+            for awaited in job.awaits().filter(|a| seen.insert(*a)) {
+                let before = self.jobs.iter().find(|j| j.id == awaited);
+                let at = before.and_then(|j| j.told_cancelled);
+                told = [told, at].into_iter().flatten().min();
+                next.push(awaited);
+            }
+        }
+        told
+    }
+
+    /// An answer about a job says that it is open, or that it is cancelled or called off: only a cancellation that was
+    /// asked for, of it or of one before it, does that, whether or not its user was told by then.
+    pub(super) fn look_at_standing(&mut self, job: usize, status: &str) {
+        let j = &self.jobs[job];
+        let id = &j.id;
+        let cancel_ms = (super::settings(0).settings.workers.cancel_s * 1_000.0) as u64;
+        let late = |at: u64| self.now > at + cancel_ms;
+        let broken = match status {
+            "pending" | "running" if self.told_before(id).is_some_and(late) => {
+                format!("orphaned: {id} is called {status}")
+            }
+            "withdrawn" if j.cancel_at.is_none() && !self.asked_before(id) => {
+                format!("went_back: {id} was not cancelled, nor anything before it")
+            }
+            _ => return,
+        };
+        self.broken.push(broken);
+    }
+
+    /// Whether the cancellation of a job before this one was ever asked for.
+    fn asked_before(&self, id: &str) -> bool {
+        let Some(job) = self.jobs.iter().find(|j| j.id == id) else { return false };
+        job.awaits().any(|awaited| {
+            let before = self.jobs.iter().find(|j| j.id == awaited);
+            before.is_some_and(|j| j.cancel_at.is_some()) || self.asked_before(awaited)
+        })
+    }
+
+    /// Whether one of the jobs that one awaits is somebody's and not accepted yet.
+    pub(super) fn names_unaccepted(&self, job: usize) -> bool {
+        let own = &self.jobs[job];
+        let open = |awaited: &str| {
+            self.jobs.iter().any(|j| j.id == awaited && j.id != own.id && !j.accepted)
+        };
+        own.awaits().any(open)
+    }
+
+    /// Whether all jobs that one awaits are done, by their tasks.
+    pub(super) fn may_start(&self, id: &str) -> bool {
+        let Some(job) = self.jobs.iter().find(|j| j.id == id) else { return true };
+        job.awaits().all(|awaited| {
+            let before = self.jobs.iter().find(|j| j.id == awaited);
+            before.is_some_and(|j| {
+                (0..j.tasks()).all(|t| self.plant.done.contains(&format!("{awaited}/{t}")))
+            })
+        })
+    }
+}
--- a/crates/standin/src/world/rules.rs
+++ b/crates/standin/src/world/rules.rs
@@ -96,6 +96,9 @@
             if jobs.get(id).is_some_and(|j| j.told_cancelled.is_some_and(|at| at < self.now)) {
                 self.started_cancelled.push(name.clone());
             }
+            if !self.may_start(id) {
+                found.push(format!("too_early: {name}"));
+            }
             self.seen_on.insert(name, launch);
         }
         found.extend(self.look_beside_room());
--- a/crates/wire/src/controllers.rs
+++ b/crates/wire/src/controllers.rs
@@ -60,6 +60,9 @@
     /// The latest heartbeat taken in of each other controller: its name, process, number.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub taken: Vec<(String, u64, u64)>,
+    /// The form of records that its version reads; 0: it knows of no jobs that await others.
+    #[serde(default)]
+    pub form: u32,
     /// Without counts and attributes, which stay as they were told last.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub brief: bool,
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -140,6 +140,9 @@
     pub id: Arc<str>,
     /// What it asks for, or what is wrong.
     pub spec: Result<Spec, WireError>,
+    /// The jobs that have to be done before any of its tasks starts, each once. Whether they are known, or names
+    /// of jobs at all, is for the controllers to say.
+    pub awaits: Vec<Arc<str>>,
 }
 
 /// Whether a text is a job id of the form that users use: a short lower-case prefix, a dash and
@@ -179,17 +182,33 @@
         let found = self.get(name).ok_or(WireError::Field(name, "is missing"))?;
         found.as_bool().ok_or(WireError::Field(name, "is not true or false"))
     }
-    fn texts(&self, name: &'static str) -> Result<Option<Vec<String>>, WireError> {
+    fn texts(&self, name: &'static str, most: usize) -> Result<Option<Vec<String>>, WireError> {
         let Some(found) = self.get(name) else {
             return Ok(None);
         };
         let list = found.as_array().ok_or(WireError::Field(name, "is not a list"))?;
-        if list.is_empty() || list.len() > HULLS_MOST {
-            return Err(WireError::Field(name, "is empty or too long"));
+        if list.len() > most {
+            return Err(WireError::Field(name, "is too long"));
         }
         let texts: Result<Vec<String>, WireError> = list.iter().map(|v| text_of(v, name)).collect();
         texts.map(Some)
     }
+    fn hulls(&self) -> Result<Option<Vec<String>>, WireError> {
+        let found = self.texts("hulls", HULLS_MOST)?;
+        match found {
+            Some(list) if list.is_empty() => Err(WireError::Field("hulls", "is empty")),
+            found => Ok(found),
+        }
+    }
+    fn awaits(&self) -> Result<Vec<Arc<str>>, WireError> {
+        let mut named: Vec<Arc<str>> = Vec::new();
+        for id in self.texts("awaits", AWAITS_MOST)?.unwrap_or_default() {
+            if !named.iter().any(|n| **n == *id) {
+                named.push(id.into());
+            }
+        }
+        Ok(named)
+    }
 }
 
 fn text_of(value: &Value, name: &'static str) -> Result<String, WireError> {
@@ -222,7 +241,11 @@
     } else {
         Err(WireError::Form("more follows the map".into()))
     };
-    Ok(Submission { id, spec })
+    let (awaits, spec) = match fields.awaits() {
+        Ok(awaits) => (awaits, spec),
+        Err(e) => (Vec::new(), spec.and(Err(e))),
+    };
+    Ok(Submission { id, spec, awaits })
 }
 
 fn read_spec(f: &Fields) -> Result<Spec, WireError> {
@@ -259,7 +282,7 @@
         memory_gb: f.number("memory_gb")?,
         image: f.text("bundle")?,
         image_gb: f.number("pull_gb")?,
-        types: f.texts("hulls")?,
+        types: f.hulls()?,
         zone,
         one_zone: f.flag("one_zone")?,
         spread: f.flag("scatter")?,
@@ -294,10 +317,12 @@
     mark_s: f64,
     stow_s: f64,
     due_s: Option<f64>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    awaits: Vec<&'a str>,
 }
 
-/// Writes a submission.
-pub fn write_submission(id: &str, spec: &Spec) -> Vec<u8> {
+/// Writes a submission of a job that awaits these.
+pub fn write_submission(id: &str, spec: &Spec, awaits: &[Arc<str>]) -> Vec<u8> {
     super::write(&Written {
         name_id: id,
         jobclass: &spec.class,
@@ -324,5 +349,6 @@
         mark_s: spec.checkpoint_s,
         stow_s: spec.save_s,
         due_s: spec.deadline_s,
+        awaits: awaits.iter().map(|id| &**id).collect(),
     })
 }
--- a/examples/pass_cost.rs
+++ b/examples/pass_cost.rs
@@ -23,6 +23,7 @@
     let mut tables = Tables::new(TOKEN, 1, BEGIN);
     for n in 0..JOBS {
         let record = JobRecord {
+            awaits: Vec::new(),
             cancelled: false,
             cancelled_wall: 0,
             accepted_wall: BEGIN,
--- a/src/client.rs
+++ b/src/client.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use swiftsail_core::job::Spec;
+use swiftsail_core::job::{JobId, Spec};
 use swiftsail_wire::users::{JobAnswer, Problem, write_submission};
 use swiftsail_wire::{read, users};
 
@@ -70,8 +70,13 @@
     }
 
     /// Submits a job, repeating until it is known whether it was taken.
-    pub async fn submit(&self, id: &str, spec: &Spec) -> Result<JobAnswer, ClientError> {
-        self.until_sure("POST", users::path::JOBS, write_submission(id, spec)).await
+    pub async fn submit(
+        &self,
+        id: &str,
+        spec: &Spec,
+        awaits: &[JobId],
+    ) -> Result<JobAnswer, ClientError> {
+        self.until_sure("POST", users::path::JOBS, write_submission(id, spec, awaits)).await
     }
 
     /// Cancels a job, repeating until it is known.
--- a/src/commands/jobs.rs
+++ b/src/commands/jobs.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use std::error::Error;
 use std::path::{Path, PathBuf};
-use swiftsail_core::job::{Kind, Priority, Spec};
+use swiftsail_core::job::{JobId, Kind, Priority, Spec};
 use swiftsail_wire::users::{JobAnswer, valid_id};
 
 /// What may be done with jobs.
@@ -21,6 +21,10 @@
         /// Its id, of the form wk-NAME; by default a new one
         #[arg(long)]
         id: Option<String>,
+        /// A job that has to be done before any task of this one starts; may be given several times, beside those
+        /// that the file names under `awaits`
+        #[arg(long = "await", value_name = "JOB")]
+        awaits: Vec<String>,
         /// Where it goes
         #[command(flatten)]
         to: To,
@@ -84,18 +88,21 @@
     save_s: f64,
     #[serde(default)]
     deadline_s: Option<f64>,
+    #[serde(default)]
+    awaits: Vec<String>,
 }
 
 fn normal() -> Priority {
     Priority::Normal
 }
 
-fn load(file: &Path) -> Result<Spec, Box<dyn Error>> {
+fn load(file: &Path) -> Result<(Spec, Vec<JobId>), Box<dyn Error>> {
     let name = file.display();
     let text = std::fs::read_to_string(file)
         .map_err(|e| format!("job file {name}: cannot be read: {e}; give a readable TOML file"))?;
     let j: JobFile = toml::from_str(&text).map_err(|e| format!("job file {name}: {e}"))?;
-    Ok(Spec {
+    let awaits = j.awaits.into_iter().map(JobId::from).collect();
+    let spec = Spec {
         class: j.class,
         team: j.team,
         kind: j.kind,
@@ -115,18 +122,21 @@
         checkpoint_s: j.checkpoint_s,
         save_s: j.save_s,
         deadline_s: j.deadline_s,
-    })
+    };
+    Ok((spec, awaits))
 }
 
 impl JobCommand {
     /// Does it.
     pub fn run(self) -> Result<(), Box<dyn Error>> {
         match self {
-            JobCommand::Submit { file, id, to } => {
-                let spec = load(&file)?;
+            JobCommand::Submit { file, id, awaits: more, to } => {
+                let (spec, mut awaits) = load(&file)?;
+                awaits.extend(more.into_iter().map(JobId::from));
                 let id = id.unwrap_or_else(|| format!("wk-{:012x}", rand::random::<u64>() >> 16));
                 let id = checked(&id)?;
-                let answer = wait(async { Client::new(to.to.clone()).submit(id, &spec).await })?;
+                let client = || Client::new(to.to.clone());
+                let answer = wait(async { client().submit(id, &spec, &awaits).await })?;
                 show_answer(&answer, to.json);
             }
             JobCommand::Poll { job, to } => {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -89,6 +89,7 @@
 
     fn submit(&mut self, id: &str, spec: Spec) {
         let record = JobRecord {
+            awaits: Vec::new(),
             cancelled: false,
             cancelled_wall: 0,
             accepted_wall: self.now,
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -17,6 +17,7 @@
 fn job(tasks: u32) -> Job {
     let spec = Spec { spread: true, ..spec(Kind::Array, tasks, 1.0, "i") };
     let record = JobRecord {
+        awaits: Vec::new(),
         cancelled: false,
         cancelled_wall: 0,
         accepted_wall: 1_000,
--- a/tests/unreachable.rs
+++ b/tests/unreachable.rs
@@ -264,6 +264,7 @@
     let (mut tables, mut now) = (Tables::new(9, 1, 1_000), 2_000);
     tables.lease_ms = 10_000.0;
     let record = JobRecord {
+        awaits: Vec::new(),
         cancelled: false,
         cancelled_wall: 0,
         accepted_wall: 0,
