--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -38,9 +38,9 @@
     let awaits: Vec<Vec<JobId>> =
         (0..count).map(|n| (0..n).filter(|_| rng.random_bool(0.15)).map(id).collect()).collect();
     let mut fates = BTreeMap::new();
-    for n in 0..count {
+    for (n, before) in awaits.iter().enumerate() {
         // What awaits something that is not done can't be; anything may be cancelled.
-        let may_end = awaits[n].iter().all(|a| {
+        let may_end = before.iter().all(|a| {
             let number: usize = a[3..].parse().expect("a number");
             matches!(fates.get(&number), Some(Fate::Done(_)))
         });
