--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -121,6 +121,11 @@
         self.had_image || self.old_term
     }
 
+    /// Its binding, as records hold it.
+    pub fn bound(&self, task: u32) -> Bound {
+        Bound { task, launch: self.launch, machine: self.machine.clone(), watch: self.watch }
+    }
+
     /// Whether it takes room on its machine.
     pub fn occupies(&self) -> bool {
         !matches!(self.stage, Stage::Exited(_))
@@ -403,8 +408,57 @@
         self.dirty.entry(self.chunk_of(task)).or_insert(now);
     }
 
+    /// Tasks of a chunk that have an attempt.
+    pub fn tasks_of(&self, chunk: u32) -> impl Iterator<Item = u32> {
+        let from = chunk * self.chunk_tasks;
+        let to = (from + self.chunk_tasks).min(self.spec.tasks);
+        self.attempts.range(from..to).map(|(task, _)| *task)
+    }
+
+    /// Bindings that a chunk alone tells of and that its record has no room for, in at most so many bytes: an earlier
+    /// leader could write larger ones.
+    pub fn overflow(
+        &self,
+        chunk: u32,
+        bytes: usize,
+        elsewhere: impl Fn(u32) -> bool,
+    ) -> Vec<Bound> {
+        self.split(chunk, bytes, elsewhere).1
+    }
+
+    /// What of a chunk's tasks is done, which bindings must go beside that and do, and which do not.
+    fn split(
+        &self,
+        chunk: u32,
+        bytes: usize,
+        elsewhere: impl Fn(u32) -> bool,
+    ) -> ((Vec<(u32, u32)>, Vec<Bound>, usize), Vec<Bound>) {
+        let from = chunk * self.chunk_tasks;
+        let to = (from + self.chunk_tasks).min(self.spec.tasks);
+        let exited = self.attempts.range(from..to).filter(|(_, a)| is_done(a)).map(|(t, _)| *t);
+        let done: BTreeSet<u32> = self.done.range(from..to).copied().chain(exited).collect();
+        let done = record::ranges(&done);
+        let mut left = bytes.saturating_sub(CHUNK_BYTES + done.len() * RANGE_BYTES);
+        let (mut fit, mut over) = (Vec::new(), Vec::new());
+        for (task, a) in self.attempts.range(from..to).filter(|(_, a)| a.occupies()) {
+            if elsewhere(*task) {
+                continue;
+            }
+            let bound = a.bound(*task);
+            let size = bound.bytes();
+            if size <= left {
+                left -= size;
+                fit.push(bound);
+            } else {
+                over.push(bound);
+            }
+        }
+        ((done, fit, left), over)
+    }
+
     /// The record of a chunk as it should be, in at most so many bytes. `elsewhere` tells of which tasks a
-    /// sheet of the ledger holds the binding: those are left there, or taken over as far as they fit.
+    /// sheet of the ledger holds the binding: those are left there, or taken over as far as they fit. What fits nowhere
+    /// was to be taken back by the ledger before ([`Job::overflow`]).
     pub fn chunk(
         &self,
         chunk: u32,
@@ -413,29 +467,21 @@
         take_over: bool,
         elsewhere: impl Fn(u32) -> bool,
     ) -> Chunk {
-        let from = chunk * self.chunk_tasks;
-        let to = (from + self.chunk_tasks).min(self.spec.tasks);
-        let exited = self.attempts.range(from..to).filter(|(_, a)| is_done(a)).map(|(t, _)| *t);
-        let done: BTreeSet<u32> = self.done.range(from..to).copied().chain(exited).collect();
-        let mut record =
-            Chunk { nonce, upto: last_launch, done: record::ranges(&done), bound: Vec::new() };
-        let mut left = bytes.saturating_sub(CHUNK_BYTES + record.done.len() * RANGE_BYTES);
-        let held = self.attempts.range(from..to).filter(|(_, a)| a.occupies());
-        let (may, must): (Vec<_>, Vec<_>) = held.partition(|(task, _)| elsewhere(**task));
-        for (n, (task, a)) in must.iter().chain(&may).enumerate() {
-            let bound = Bound {
-                task: **task,
-                launch: a.launch,
-                machine: a.machine.clone(),
-                watch: a.watch,
-            };
+        let ((done, bound, mut left), over) = self.split(chunk, bytes, &elsewhere);
+        let mut record = Chunk { nonce, upto: last_launch, done, bound };
+        // Whoever reads this finds later bindings on the sheets alone.
+        let mut beyond = |launch: u64| record.upto = record.upto.min(launch.saturating_sub(1));
+        over.iter().for_each(|b| beyond(b.launch));
+        let may = self.tasks_of(chunk).filter(|task| elsewhere(*task));
+        for bound in
+            may.filter_map(|t| self.attempts.get(&t).filter(|a| a.occupies()).map(|a| a.bound(t)))
+        {
             let size = bound.bytes();
-            if size <= left && (take_over || n < must.len()) {
+            if take_over && size <= left {
                 left -= size;
                 record.bound.push(bound);
             } else {
-                // Whoever reads this finds later bindings on the sheets alone.
-                record.upto = record.upto.min(a.launch.saturating_sub(1));
+                beyond(bound.launch);
             }
         }
         record
--- a/crates/core/src/node/chunks.rs
+++ b/crates/core/src/node/chunks.rs
@@ -96,6 +96,7 @@
         if job.flight.is_some() || job.state() == JobState::Closed {
             return;
         }
+        let value = (ctx.settings.settings.state.value_kb * 1024.0) as usize;
         let mut commit = Commit {
             when: vec![
                 When { key: keys::LEADER.into(), stamp: self.token },
@@ -121,16 +122,20 @@
             let ended = job.attempts.values().filter(|a| !a.occupies()).count();
             let pressing = ended >= FOLD_PRESSING;
             urgency = if pressing { Urgency::Work } else { Urgency::Tidy };
-            let value = (ctx.settings.settings.state.value_kb * 1024.0) as usize;
             let take_over = self.ledger.len() > LEDGER_KEPT;
             let mut bytes = 512;
-            let mut chunks: Vec<(Time, u32)> = job.dirty.iter().map(|(c, at)| (*at, *c)).collect();
+            // What only a chunk tells of is on a sheet before the chunk is written without it.
+            let told = |chunk: &u32| !job.tasks_of(*chunk).any(|t| self.ledger.awaits_sheet(id, t));
+            let dirty = job.dirty.iter().filter(|(chunk, _)| told(chunk));
+            let mut chunks: Vec<(Time, u32)> = dirty.map(|(c, at)| (*at, *c)).collect();
             chunks.sort();
-            if chunks.is_empty() {
-                return;
-            }
             for (_, chunk) in chunks.into_iter().take(ops.min(FOLDS_AT_ONCE)) {
                 let elsewhere = |task: u32| self.ledger.holds(id, task);
+                let overflow = job.overflow(chunk, value, elsewhere);
+                if !overflow.is_empty() {
+                    overflow.iter().for_each(|b| self.ledger.take_back(id, b, value - value / 32));
+                    continue;
+                }
                 let record = job.chunk(chunk, (nonce, upto), value, take_over, elsewhere);
                 bytes += CHUNK_BYTES + record.done.len() * RANGE_BYTES;
                 bytes += record.bound.iter().map(Bound::bytes).sum::<usize>();
@@ -150,6 +155,9 @@
                 flight.done.extend(done.map(|(task, _)| *task));
             }
         }
+        if commit.apply.is_empty() {
+            return;
+        }
         job.flight = Some(flight);
         let purpose = Purpose::Flush { era: self.era, job: id.clone() };
         ctx.store.push(Call::Commit(commit), purpose, urgency, Patience::Always);
--- a/crates/core/src/node/ledger.rs
+++ b/crates/core/src/node/ledger.rs
@@ -67,6 +67,7 @@
             nonce: self.nonce,
             sheets: Vec::new(),
             bound: Vec::new(),
+            taken_back: Vec::new(),
             unread: Vec::new(),
             applied: None,
         };
@@ -74,6 +75,7 @@
         let conditions = (state.txn_ops * 4).saturating_sub(1 + most);
         let mut named: BTreeSet<JobId> = BTreeSet::new();
         let mut over: Vec<(JobId, u32, u64)> = Vec::new();
+        let taken_back = std::mem::take(&mut self.ledger.taken_back);
         for n in dirty.into_iter().take(most) {
             let sheet = &mut self.ledger.sheets[n];
             sheet.dirty = false;
@@ -93,6 +95,10 @@
                     named.insert(id.clone());
                     passage.bound.push((id.clone(), *task, *launch));
                 }
+                let key = (id.clone(), *task);
+                if taken_back.contains(&key) {
+                    passage.taken_back.push(key);
+                }
                 record.bound.entry(id.to_string()).or_default().push(Bound {
                     task: *task,
                     launch: *launch,
@@ -105,6 +111,7 @@
             commit.apply.push(super::chunks::put(key, &record));
             passage.sheets.push(n);
         }
+        self.ledger.taken_back = taken_back;
         // Half of the changes that this node may make are for users, ends and chunks.
         let rate = ctx.store.write_rate();
         let busy = ctx.store.queued()[Urgency::Work as usize] >= ENDS_QUEUED;
@@ -118,7 +125,7 @@
             let stamp = self.jobs.get(&id).map_or(0, |j| j.stamp);
             commit.when.push(When { key: keys::job(&id), stamp });
         }
-        if passage.bound.is_empty() {
+        if passage.bound.is_empty() && passage.taken_back.is_empty() {
             // All of it was released meanwhile.
             return;
         }
@@ -203,6 +210,9 @@
                 }
             }
         }
+        for (id, task) in passage.taken_back.iter().filter(|_| committed.is_some()) {
+            self.ledger.on_sheet(id, *task);
+        }
         let mut never = Vec::new();
         for (id, task, launch) in passage.bound {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
--- a/crates/core/src/tables/sheets.rs
+++ b/crates/core/src/tables/sheets.rs
@@ -51,6 +51,8 @@
     pub(crate) nonce: u64,
     pub(crate) sheets: Vec<usize>,
     pub(crate) bound: Vec<(JobId, u32, u64)>,
+    /// Bindings taken back from chunks that it holds.
+    pub(crate) taken_back: Vec<(JobId, u32)>,
     /// Keys still to be read after a conflict.
     pub(crate) unread: Vec<String>,
     pub(crate) applied: Option<u64>,
@@ -67,6 +69,8 @@
     places: HashMap<(JobId, u32), (usize, usize)>,
     /// Bindings by launch: the oldest come first.
     ages: BTreeSet<(u64, JobId, u32)>,
+    /// Bindings that a chunk holds and can hold no longer: taken back, and not committed on their sheet yet.
+    pub(crate) taken_back: BTreeSet<(JobId, u32)>,
 }
 
 impl Ledger {
@@ -86,6 +90,23 @@
         self.sheets[index].dirty = true;
     }
 
+    /// Takes back what a job's chunk has no room for any more, since values have become smaller: it is committed on a
+    /// sheet before the chunk is written without it.
+    pub fn take_back(&mut self, job: &JobId, bound: &Bound, value_bytes: usize) {
+        self.add(job, bound, value_bytes);
+        self.taken_back.insert((job.clone(), bound.task));
+    }
+
+    /// Whether a binding was taken back and is not on its sheet yet: its chunk alone tells of it.
+    pub fn awaits_sheet(&self, job: &JobId, task: u32) -> bool {
+        !self.taken_back.is_empty() && self.taken_back.contains(&(job.clone(), task))
+    }
+
+    /// A sheet was committed with this binding on it.
+    pub(crate) fn on_sheet(&mut self, job: &JobId, task: u32) {
+        self.taken_back.remove(&(job.clone(), task));
+    }
+
     /// A binding is on a sheet.
     pub(crate) fn put(&mut self, index: usize, job: &JobId, bound: &Bound) {
         let sheet = &mut self.sheets[index];
@@ -135,6 +156,7 @@
             let name = if sheet.names(job) { 0 } else { name_bytes(job) };
             sheet.bytes = sheet.bytes.saturating_sub(size + name);
             self.ages.remove(&(held, key.0.clone(), task));
+            self.taken_back.remove(&key);
             self.places.remove(&key);
         }
     }
