--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -81,6 +81,8 @@
     assert_eq!(expected.len(), 200);
     let mut client: Client<Purpose> = Client::new(1_000.0, 100.0, 1_000);
     let (mut sheets, mut chunks) = (0, 0);
+    // Sheets are written late: chunks that could go first do.
+    let mut waiting: Vec<(u64, u64, Call)> = Vec::new();
     for step in 0..60 {
         let now = 1_000 + step * 300;
         if step < 20 {
@@ -97,6 +99,12 @@
         let (calls, late) = client.pump(now);
         assert!(late.is_empty());
         for (number, call) in calls {
+            let Call::Commit(commit) = &call else { panic!("{call:?}") };
+            let sheet = commit.when.iter().any(|w| w.key.starts_with(keys::SHEETS));
+            waiting.push((if sheet { step + 5 } else { step }, number, call));
+        }
+        let due: Vec<_> = waiting.extract_if(.., |(at, ..)| *at <= step).collect();
+        for (_, number, call) in due {
             let Call::Commit(commit) = &call else { panic!("{call:?}") };
             let outcome = match store.commit(commit) {
                 Committed::At(epoch) => Outcome::Committed(epoch),
