--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -23,7 +23,7 @@
     pub fn count(tables: &Tables, view: View<'a>) -> Demand<'a> {
         let teams = &view.settings.settings.teams;
         let open = tables.jobs.values().filter(|j| j.queued() && !j.cancelled());
-        let open: Vec<_> = open.collect();
+        let open: Vec<_> = open.chain(tables.coming(view.now)).collect();
         let waits = open.iter().any(|j| j.spec.kind != Kind::Service);
         let jobs = open.into_iter().filter(|_| waits).filter_map(|j| {
             let team = teams.iter().position(|t| t.name == j.spec.team)?;
--- a/crates/core/src/node/admin.rs
+++ b/crates/core/src/node/admin.rs
@@ -34,6 +34,8 @@
     SetDispatch(Vec<u8>),
     /// One arrival, as JSON.
     AddArrival(Vec<u8>),
+    /// The jobs before and after one that are not over.
+    Pipeline(String),
     /// Accelerators lent; of one job if it is named.
     Loans(Option<String>),
 }
@@ -93,6 +95,16 @@
                 };
                 self.answer(request, reply);
             }
+            AdminAsk::Pipeline(id) => {
+                let reply = match (&self.leader, self.now.steady) {
+                    (Some(leader), now) => match leader.show_pipeline(&id, now) {
+                        Some(shown) => Reply::json(200, &shown),
+                        None => problem(404, format!("job `{id}` is not alive; poll it")),
+                    },
+                    (None, _) => self.ask_the_leader(),
+                };
+                self.answer(request, reply);
+            }
             AdminAsk::Dispatch(of) => {
                 let reply = self.show_dispatch(of.as_deref());
                 self.answer(request, reply);
--- a/crates/core/src/node/steer.rs
+++ b/crates/core/src/node/steer.rs
@@ -175,6 +175,7 @@
     });
     let held_back = team.is_some_and(|(_, used, cap)| !cap.allows(*used, each));
     let why = match (job.waiting.is_empty(), job.muster()) {
+        _ if job.state() == JobState::Awaiting => "the jobs that it awaits: see `pipeline show`",
         (true, _) if job.held.is_empty() => "nothing waits",
         (true, _) if job.mistaken() => {
             "a pause: it has failed on every machine so far, and may have been submitted with a mistake"
--- a/crates/core/src/placement/field.rs
+++ b/crates/core/src/placement/field.rs
@@ -35,6 +35,8 @@
     pub gathered: usize,
     /// Jobs that found no place for what their team's limit leaves them.
     pub idle: Vec<JobId>,
+    /// What is looked at may not begin yet: it binds nothing, and only says what to rent.
+    pub foresees: bool,
     /// Tasks bound in this pass.
     pub binds: usize,
     /// Tasks that have joined lines in it.
@@ -62,6 +64,7 @@
             full,
             gathered: 0,
             idle: Vec::new(),
+            foresees: false,
             binds: 0,
             joins: 0,
             out: Plan { lines: tables.lines.clone(), ..Plan::default() },
@@ -87,6 +90,10 @@
 
     /// Plans to bind a task. False if the ledger has no room for it.
     pub fn bind(&mut self, c: &Chooser, machine: MachineId) -> bool {
+        if self.foresees {
+            self.plan_use(c);
+            return true;
+        }
         let most = if c.spec.priority == Priority::Low { LEDGER_LOW } else { LEDGER_MOST };
         if self.tables.ledger.len() + self.binds >= most {
             return false;
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -174,6 +174,23 @@
         }
         self.map(&mut overdue, false);
         self.note_idle(&overdue);
+        self.foresee();
+    }
+
+    /// What is about to begin, once those that it awaits are done, finds what it needs booted by then: what is free when
+    /// everybody else has chosen, or boots already, is counted on, and the rest is rented.
+    fn foresee(&mut self) {
+        if !self.full || self.binds >= self.view.steering.bounds.binds {
+            return;
+        }
+        self.foresees = true;
+        let coming: Vec<JobId> =
+            self.tables.coming(self.view.now).into_iter().map(|j| j.id.clone()).collect();
+        for id in coming.into_iter().take(self.view.steering.bounds.jobs) {
+            let Some(c) = self.chooser(&id) else { continue };
+            *self.demand.entry(c.spec.class.clone()).or_default() += c.left;
+            self.map(&mut [c], false);
+        }
     }
 
     /// Of those that place what their team's limit leaves, who found no place and nothing to rent.
--- a/crates/core/src/tables/pipelines.rs
+++ b/crates/core/src/tables/pipelines.rs
@@ -7,6 +7,8 @@
 use crate::constants::*;
 use crate::job::*;
 use crate::machine::MachineType;
+use serde_json::{Value, json};
+use swiftsail_pipelines::constants::REST_CHANCE;
 use swiftsail_pipelines::{Asked, Fate, Standing, backward};
 
 impl Tables {
@@ -75,6 +77,83 @@
         self.asked_after.remove(id);
     }
 
+    /// For operators: a job, and the jobs before and after it, through others too, that are not over. None: it is over,
+    /// or nobody knows it.
+    pub fn show_pipeline(&self, id: &str, now: Time) -> Option<Value> {
+        let first = self.jobs.get_key_value(id)?.0;
+        let mut found = vec![first.clone()];
+        for ahead in [true, false] {
+            let mut next = vec![first.clone()];
+            while let Some(id) = next.pop() {
+                let more: Vec<&JobId> = match ahead {
+                    true => self.pipelines.open(&id).collect(),
+                    false => self.pipelines.after(&id).collect(),
+                };
+                for id in more {
+                    if !found.contains(id) {
+                        found.push(id.clone());
+                        next.push(id.clone());
+                    }
+                }
+            }
+        }
+        let row = |id: &JobId| {
+            let job = self.jobs.get(id)?;
+            let left_s = job.due.map(|due| (due as f64 - now as f64) / MS_PER_S);
+            let awaits: Vec<&str> = self.pipelines.open(id).map(|a| &**a).collect();
+            let waits_for = match job.state() {
+                JobState::Awaiting => "the jobs that it awaits",
+                JobState::Cancelling => "its end to be written: it is cancelled or called off",
+                _ if !job.waiting.is_empty() => "places for its tasks",
+                _ if !job.held.is_empty() => "a pause after a failure",
+                _ => "its tasks to end",
+            };
+            Some(json!({
+                "job": id.as_ref(),
+                "class": job.spec.class,
+                "state": format!("{:?}", job.state()).to_lowercase(),
+                "priority": job.spec.priority,
+                "tasks": job.spec.tasks,
+                "done": job.done.len(),
+                "left_s": left_s.map(f64::round),
+                "awaits": awaits,
+                "waits_for": waits_for,
+            }))
+        };
+        Some(json!({ "jobs": found.iter().filter_map(row).collect::<Vec<_>>() }))
+    }
+
+    /// Jobs that are about to begin: all that they still await has a place, and ends soon as far as its run times tell.
+    /// The most urgent come first.
+    pub fn coming(&self, now: Time) -> Vec<&Job> {
+        let ends_soon = |id: &JobId| {
+            let left = self.jobs.get(id).and_then(|job| self.left_ms(job, now));
+            left.is_some_and(|ms| ms <= COMING_MS)
+        };
+        let awaiting = self.jobs.values().filter(|j| j.state() == JobState::Awaiting);
+        let mut found: Vec<&Job> =
+            awaiting.filter(|j| self.pipelines.open(&j.id).all(ends_soon)).collect();
+        found.sort_by(|a, b| (b.spec.priority, &a.id).cmp(&(a.spec.priority, &b.id)));
+        found
+    }
+
+    /// How long a job's tasks go on, as likely as not, if all of them have a place, ms.
+    fn left_ms(&self, job: &Job, now: Time) -> Option<f64> {
+        if job.state() != JobState::Live || !job.waiting.is_empty() || !job.held.is_empty() {
+            return None;
+        }
+        let left = job.attempts.values().filter(|a| a.occupies()).map(|a| {
+            let kind = self.machines.get(&a.machine).map_or("", |m| m.kind.as_str());
+            let run = self.history.run_time(&job.id, &job.spec, kind);
+            match (a.stage(), a.ran_at) {
+                (Stage::Running, Some(at)) => run.remaining(now.saturating_sub(at) as f64),
+                _ => crate::chance::Pmf::clone(&run),
+            }
+            .within(REST_CHANCE)
+        });
+        left.reduce(f64::max).or(Some(0.0))
+    }
+
     /// Works out, now and then, by when each job has to be done for those that await it, and how urgent it is.
     pub fn need_for_pipelines(&mut self, types: &[MachineType], now: Time) {
         if self.pipelines.is_empty() || now < self.needed_at + NEEDED_MS {
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -19,6 +19,8 @@
     pub const EXPLAIN: &str = "/admin/jobs/{id}/explain";
     /// Where a job stands in the tiers and the line.
     pub const TIER_OF: &str = "/admin/jobs/{id}/tier";
+    /// The jobs before and after one.
+    pub const PIPELINE: &str = "/admin/jobs/{id}/pipeline";
     /// The table of tiers: GET shows it, PUT offers another.
     pub const TIERS: &str = "/admin/tiers";
     /// Arrivals: GET lists them, `?of=` one; PUT offers another plan; POST adds one.
@@ -55,6 +57,10 @@
     ask(&to, AdminAsk::Explain(id.into_inner())).await
 }
 
+async fn pipeline(to: Node, id: web::Path<String>) -> HttpResponse {
+    ask(&to, AdminAsk::Pipeline(id.into_inner())).await
+}
+
 async fn tiers(to: Node) -> HttpResponse {
     ask(&to, AdminAsk::Tiers).await
 }
@@ -118,6 +124,7 @@
             .route(path::JOBS, web::get().to(jobs))
             .route(path::EXPLAIN, web::get().to(explain))
             .route(path::TIER_OF, web::get().to(tier_of))
+            .route(path::PIPELINE, web::get().to(pipeline))
             .route(path::TIERS, web::get().to(tiers))
             .route(path::TIERS, web::put().to(set_tiers))
             .route(path::LOANS, web::get().to(loans))
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod jobs;
 mod loans;
+mod pipelines;
 mod plugins;
 mod show;
 mod tiers;
@@ -10,6 +11,7 @@
 pub use dispatch::{DispatchCommand, plan_of};
 pub use jobs::JobCommand;
 pub use loans::LoanCommand;
+pub use pipelines::PipelineCommand;
 pub use plugins::PluginCommand;
 pub use tiers::{TierCommand, table_of};
 
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,7 +1,9 @@
 //! The command line.
 
 use crate::client::ClientError;
-use crate::commands::{DispatchCommand, JobCommand, LoanCommand, PluginCommand, TierCommand};
+use crate::commands::{
+    DispatchCommand, JobCommand, LoanCommand, PipelineCommand, PluginCommand, TierCommand,
+};
 use crate::constants::*;
 use crate::controller::Controller;
 use crate::entry::Entry;
@@ -70,6 +72,9 @@
     /// Accelerators lent: list, show
     #[command(subcommand)]
     Loan(LoanCommand),
+    /// Jobs that await others, with their deadlines along the chain
+    #[command(subcommand)]
+    Pipeline(PipelineCommand),
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -93,6 +98,7 @@
         (Some(Command::Plugin(plugin)), _) => plugin.run(),
         (Some(Command::Tier(tier)), _) => tier.run(),
         (Some(Command::Loan(loan)), _) => loan.run(),
+        (Some(Command::Pipeline(pipeline)), _) => pipeline.run(),
         (Some(Command::Dispatch(dispatch)), _) => dispatch.run(),
         (Some(Command::Completions { shell }), _) => {
             let mut out = Vec::new();
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -553,6 +553,36 @@
     assert!(called_off > 8, "{called_off} jobs were called off");
 }
 
+/// Machines for what is about to begin are booted by then, and not long before; nothing of it is bound meanwhile.
+#[test]
+fn machines_are_up_when_the_next_stage_begins() {
+    let mut world = World::sized(8, CALM, 1_000, 40);
+    // From these it learns how far its class keeps to its estimates.
+    for n in 0..4 {
+        world.submit(300, None, job(&format!("wk-t{n}"), "array", "blue", 10, 0.5, 4.0));
+    }
+    world.submit(60_000, None, job("wk-1", "array", "blue", 2, 1.0, 100.0));
+    let mut next = awaiting("wk-2", &["wk-1"], 40, 6.0);
+    next["cpus"] = json!(4.0);
+    world.submit(62_000, None, next);
+    let up = |world: &World| world.plant.workers.values().filter(|w| !w.gone).count();
+    world.run(110_000);
+    let (before, mut rented, mut done) = (up(&world), None, None);
+    assert!(before <= 6, "{before} machines for two tasks");
+    for at in (110_000..300_000).step_by(200) {
+        world.run(at);
+        if up(&world) >= 20 {
+            rented.get_or_insert(at);
+        }
+        if (0..2).all(|t| world.plant.done.contains(&format!("wk-1/{t}"))) {
+            done.get_or_insert(at);
+        }
+    }
+    assert_over(&world, "in the end");
+    let (rented, done) = (rented.expect("machines were rented"), done.expect("it was done"));
+    assert!(rented < done && done - rented < 60_000, "rented at {rented}, awaited until {done}");
+}
+
 // ---- limits to come ----------------------------------------------------------------------------
 
 /// The lower of the limits that hold and those to come is kept to; nonsense to come is not believed.
