--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -340,6 +340,8 @@
 /// Jobs that others await whose end a leader asks the state service for at once: a new one may have to ask for all
 /// those of some dozen pipelines.
 pub const STRANGERS_MOST: usize = 40;
+/// Time after which it asks again about one of which it was told nothing, ms: what is not readable now may be soon.
+pub const STRANGER_AGAIN_MS: u64 = 2_000;
 /// Time before a job may begin from which on machines are rented for it, ms: the usual boot of a machine.
 pub const COMING_MS: f64 = 30_000.0;
 /// Questions under way about what comes before a job, at most (memory).
--- a/crates/core/src/node/pipelines.rs
+++ b/crates/core/src/node/pipelines.rs
@@ -172,7 +172,7 @@
         let (now, wall) = (self.now.steady, self.now.wall);
         let Some(leader) = &mut self.leader else { return };
         leader.need_for_pipelines(&types, now);
-        for id in leader.strangers() {
+        for id in leader.strangers(now) {
             match self.finals.get(&id) {
                 Some(record) => leader.after_end(&id, record.fate(wall), now, wall),
                 None => read_awaited(&mut self.store, leader, id, false),
@@ -189,7 +189,7 @@
             Place::Is(Seen::Ended(fate)) => leader.after_end(id, fate, now, wall),
             Place::Elsewhere => read_awaited(&mut self.store, leader, id.clone(), true),
             // It is known meanwhile, or not readable for now.
-            Place::Is(_) | Place::Unread => leader.ask_again(id),
+            Place::Is(_) | Place::Unread => leader.ask_again(id, now),
         }
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -113,8 +113,8 @@
     pub pipelines: Graph,
     /// When their deadlines were last worked out.
     pub needed_at: Time,
-    /// Jobs that others await and that are not in the tables, whose end is being read.
-    pub(crate) asked_after: BTreeSet<JobId>,
+    /// Jobs that others await and that are not in the tables, whose end is being read, and until when none asks again.
+    pub(crate) asked_after: BTreeMap<JobId, Time>,
     /// Accelerators lent.
     pub loans: Loans,
     /// The table of tiers in force.
@@ -170,7 +170,7 @@
             reached: BTreeSet::new(),
             pipelines: Graph::default(),
             needed_at: 0,
-            asked_after: BTreeSet::new(),
+            asked_after: BTreeMap::new(),
             loans: Loans::default(),
             tiers: Rc::default(),
             lease_ms: 0.0,
--- a/crates/core/src/tables/pipelines.rs
+++ b/crates/core/src/tables/pipelines.rs
@@ -64,17 +64,20 @@
 
     /// Jobs that others await and of which the tables know nothing: they are over, and how is to be read. Each is
     /// named once, until its end is told or [`Tables::ask_again`].
-    pub fn strangers(&mut self) -> Vec<JobId> {
-        let unknown = |id: &&JobId| !self.jobs.contains_key(*id) && !self.asked_after.contains(*id);
+    pub fn strangers(&mut self, now: Time) -> Vec<JobId> {
+        let unknown = |id: &&JobId| {
+            let asked = self.asked_after.get(*id).is_some_and(|until| now < *until);
+            !asked && !self.jobs.contains_key(*id)
+        };
         let found: Vec<JobId> =
             self.pipelines.awaited().filter(unknown).take(STRANGERS_MOST).cloned().collect();
-        self.asked_after.extend(found.iter().cloned());
+        self.asked_after.extend(found.iter().map(|id| (id.clone(), Time::MAX)));
         found
     }
 
-    /// The reading of such a job has told nothing.
-    pub fn ask_again(&mut self, id: &JobId) {
-        self.asked_after.remove(id);
+    /// The reading of such a job has told nothing: it is asked for again, but not at once.
+    pub fn ask_again(&mut self, id: &JobId, now: Time) {
+        self.asked_after.insert(id.clone(), now + STRANGER_AGAIN_MS);
     }
 
     /// For operators: a job, and the jobs before and after it, through others too, that are not over. None: it is over,
