--- a/crates/core/src/node/pipelines.rs
+++ b/crates/core/src/node/pipelines.rs
@@ -57,7 +57,7 @@
             let seen = if valid_id(&id) { self.seen_here(&id) } else { Some(Seen::Never) };
             match seen {
                 Some(seen) => walker.walk.tell(&seen),
-                None if self.walks.open.len() >= WALKS_MOST || self.store.away() => {
+                None if !self.may_walk() => {
                     let reply = Reply::later("the state service does not answer");
                     return self.walk_ends(walker, reply);
                 }
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Whether another read for a question may wait.
+    fn may_walk(&self) -> bool {
+        let room = self.walks.open.len() < WALKS_MOST && self.store.has_room(self.budget.calls);
+        room && !self.store.away()
+    }
+
     fn walk_ends(&mut self, walker: Walker, reply: Reply) {
         let request = match walker.asker {
             Asker::Accept(request, _) => request,
--- a/crates/core/src/placement/mapping.rs
+++ b/crates/core/src/placement/mapping.rs
@@ -252,6 +252,11 @@
                 self.places[index].gangs.retain(|g| g.0 != c.id);
                 self.places[index].room.take(&each);
             }
+            // What ends by then is counted on as well; but nobody stands in a line who may not begin.
+            What::Line(_) if self.foresees => {
+                self.plan_use(c);
+                self.places[index].room = Room::default();
+            }
             What::Line(slot) => {
                 self.joins += 1;
                 self.out.lines.join(slot.clone(), &c.id);
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -189,7 +189,9 @@
         for id in coming.into_iter().take(self.view.steering.bounds.jobs) {
             let Some(c) = self.chooser(&id) else { continue };
             *self.demand.entry(c.spec.class.clone()).or_default() += c.left;
-            self.map(&mut [c], false);
+            let mut one = [c];
+            self.map(&mut one, true);
+            self.map(&mut one, false);
         }
     }
 
