--- a/crates/pipelines/src/graph.rs
+++ b/crates/pipelines/src/graph.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Where a job stands with those that it awaits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Standing {
     /// One of them is not done.
     Waits,
@@ -14,7 +14,7 @@
     CalledOff,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Waiter {
     standing: Standing,
     /// Those not known to be done.
@@ -35,7 +35,7 @@
 }
 
 /// Jobs that await others, by both ends.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Graph {
     waiters: BTreeMap<JobId, Waiter>,
     /// Who awaits a job that is not known to be done.
--- a/crates/pipelines/src/walk.rs
+++ b/crates/pipelines/src/walk.rs
@@ -16,7 +16,7 @@
 }
 
 /// What follows for the job that was asked about.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Verdict {
     /// Nothing before it is cancelled.
     Stands,
@@ -27,7 +27,7 @@
 }
 
 /// One question under way: whose state is to be told next, until something follows.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Walk {
     next: VecDeque<JobId>,
     seen: BTreeSet<JobId>,
