--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -159,6 +159,18 @@
     Leaving,
 }
 
+/// What a chunk's record holds in a bounded size.
+struct Split {
+    /// Tasks done, as ranges.
+    done: Vec<(u32, u32)>,
+    /// Bindings that it alone tells of and has room for, ...
+    fit: Vec<Bound>,
+    /// ... and those that it has no room for.
+    over: Vec<Bound>,
+    /// Bytes left.
+    left: usize,
+}
+
 /// Deadlines of a job, by who gives them, in steady time.
 #[derive(Debug, Clone, Copy)]
 struct Dues {
@@ -423,16 +435,11 @@
         bytes: usize,
         elsewhere: impl Fn(u32) -> bool,
     ) -> Vec<Bound> {
-        self.split(chunk, bytes, elsewhere).1
+        self.split(chunk, bytes, elsewhere).over
     }
 
     /// What of a chunk's tasks is done, which bindings must go beside that and do, and which do not.
-    fn split(
-        &self,
-        chunk: u32,
-        bytes: usize,
-        elsewhere: impl Fn(u32) -> bool,
-    ) -> ((Vec<(u32, u32)>, Vec<Bound>, usize), Vec<Bound>) {
+    fn split(&self, chunk: u32, bytes: usize, elsewhere: impl Fn(u32) -> bool) -> Split {
         let from = chunk * self.chunk_tasks;
         let to = (from + self.chunk_tasks).min(self.spec.tasks);
         let exited = self.attempts.range(from..to).filter(|(_, a)| is_done(a)).map(|(t, _)| *t);
@@ -453,7 +460,7 @@
                 over.push(bound);
             }
         }
-        ((done, fit, left), over)
+        Split { done, fit, over, left }
     }
 
     /// The record of a chunk as it should be, in at most so many bytes. `elsewhere` tells of which tasks a
@@ -467,8 +474,8 @@
         take_over: bool,
         elsewhere: impl Fn(u32) -> bool,
     ) -> Chunk {
-        let ((done, bound, mut left), over) = self.split(chunk, bytes, &elsewhere);
-        let mut record = Chunk { nonce, upto: last_launch, done, bound };
+        let Split { done, fit, over, mut left } = self.split(chunk, bytes, &elsewhere);
+        let mut record = Chunk { nonce, upto: last_launch, done, bound: fit };
         // Whoever reads this finds later bindings on the sheets alone.
         let mut beyond = |launch: u64| record.upto = record.upto.min(launch.saturating_sub(1));
         over.iter().for_each(|b| beyond(b.launch));
