--- a/crates/standin/src/world/actions.rs
+++ b/crates/standin/src/world/actions.rs
@@ -100,6 +100,7 @@
                 self.at(at, Ev::ToNode(n, life, event));
             }
             Action::Beat(beat) => {
+                let beat = self.as_of(n, beat);
                 for other in (0..NODES).filter(|o| *o != n) {
                     if !self.lost() && !self.apart(n, other) {
                         self.at(at, Ev::Beat(n, life, other, beat.clone()));
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -230,6 +230,8 @@
     /// Once the troubles are over no job may wait for long beside room: see `beside_room`.
     pub watches_waiting: bool,
     odd: u64,
+    /// Until when each controller's heartbeats are those of a version that knows no pipelines, ms from the beginning.
+    pub earlier_until_ms: [u64; NODES],
 }
 
 impl World {
@@ -306,6 +308,7 @@
             seen_on: HashMap::new(),
             watches_waiting: false,
             odd: 0,
+            earlier_until_ms: [0; NODES],
             rng: StdRng::seed_from_u64(seed ^ 0xabcd),
         };
         for n in 0..NODES {
--- a/crates/standin/src/world/pipelines.rs
+++ b/crates/standin/src/world/pipelines.rs
@@ -1,7 +1,8 @@
 //! Pipelines: what users expect of jobs that await others.
 
-use super::World;
+use super::{BEGIN, World};
 use std::collections::HashSet;
+use swiftsail_wire::controllers::Beat;
 
 impl World {
     /// When the user of a job before this one, directly or through others, was first told that it is cancelled.
@@ -48,6 +49,14 @@
         })
     }
 
+    /// A heartbeat as that controller's version writes or reads it.
+    pub(super) fn as_of(&self, node: usize, mut beat: Beat) -> Beat {
+        if self.now < BEGIN + self.earlier_until_ms[node] {
+            beat.form = 0;
+        }
+        beat
+    }
+
     /// Whether one of the jobs that one awaits is somebody's and not accepted yet.
     pub(super) fn names_unaccepted(&self, job: usize) -> bool {
         let own = &self.jobs[job];
--- a/crates/standin/src/world/steps.rs
+++ b/crates/standin/src/world/steps.rs
@@ -65,11 +65,13 @@
             Ev::ToNode(n, life, event) => self.handle(n, life, *event),
             Ev::Beat(from, life, to, beat) => {
                 let brief = beat.brief;
+                let beat = self.as_of(to, beat);
                 self.handle(to, self.lives[to], Event::Beat(beat));
                 if self.stands_still(to) {
                     return;
                 }
                 if let Some(ours) = self.nodes[to].as_mut().map(|n| n.beat(brief)) {
+                    let ours = self.as_of(from, self.as_of(to, ours));
                     let at = self.now + self.delay();
                     self.at(at, Ev::ToNode(from, life, Box::new(Event::Beat(ours))));
                 }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -386,6 +386,31 @@
     job.last.clone().unwrap_or_default()
 }
 
+/// While one controller is of an earlier version pipelines are put off, at every controller and whoever ends; all else is
+/// served; and once it has been replaced they are taken and run.
+#[test]
+fn pipelines_are_put_off_while_versions_mix() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, CALM, 1_000);
+        world.earlier_until_ms[seed as usize % 3] = 70_000;
+        world.crash(40_000, (seed as usize + 1) % 3);
+        pipeline(&mut world, "a", 20_000, None);
+        world.submit(20_000, None, job("wk-p", "array", "blue", 3, 1.0, 5.0));
+        world.run(70_000);
+        let accepted =
+            |world: &World, id: &str| world.jobs.iter().any(|j| j.id == id && j.accepted);
+        assert!(
+            accepted(&world, "wk-a0") && last(&world, "wk-p") == "done",
+            "seed {seed}: others are served"
+        );
+        for n in 1..6 {
+            assert!(!accepted(&world, &format!("wk-a{n}")), "seed {seed}: wk-a{n} was accepted");
+        }
+        world.run(200_000);
+        assert_over(&world, &format!("seed {seed}"));
+    }
+}
+
 /// Stages run one after the other, and the next begins soon after the one before it.
 #[test]
 fn a_pipeline_runs_in_order_and_without_delay() {
--- a/tests/world_rules.rs
+++ b/tests/world_rules.rs
@@ -205,3 +205,38 @@
         }
     }
 }
+
+#[test]
+fn a_stage_that_begins_too_early_or_is_orphaned_is_seen() {
+    let awaiting = |id: &str, awaits: &str| {
+        let mut body = job(id, "array", "blue", 1, 1.0, 100.0);
+        body["awaits"] = json!([awaits]);
+        body
+    };
+    let two = |cancel_ms| {
+        let mut world = one(3, 400.0, cancel_ms);
+        world.submit(3_000, None, awaiting("wk-2", "wk-1"));
+        world
+    };
+    let mut world = two(None);
+    world.run(80_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(world.jobs[1].last.as_deref(), Some("pending"));
+    // As if its user had been told 40 s ago that the first is cancelled.
+    world.jobs[0].told_cancelled = Some(BEGIN + 40_000);
+    world.run(90_000);
+    assert!(broke(&world, "orphaned: wk-2"), "{:?}", world.broken);
+    // As if it had named the first, though it runs.
+    let mut world = one(3, 400.0, None);
+    world.submit(500, None, job("wk-2", "array", "blue", 1, 1.0, 100.0));
+    world.run(1_200);
+    world.jobs[1].body["awaits"] = json!(["wk-1"]);
+    world.run(60_000);
+    assert!(broke(&world, "too_early: wk-2"), "{:?}", world.broken);
+    // As if nobody had ever asked to cancel the first.
+    let mut world = two(Some(30_000));
+    world.run(30_500);
+    world.jobs[0].cancel_at = None;
+    world.run(60_000);
+    assert!(broke(&world, "went_back: wk-2 was not cancelled, nor anything"), "{:?}", world.broken);
+}
