Answers about stages follow one order, by a reading no older than the question

What is open is taken from the reading that is kept only by those who waited for it; others walk by reads of their own.

--- a/crates/core/src/node/pipelines.rs
+++ b/crates/core/src/node/pipelines.rs
@@ -26,6 +26,9 @@
     job: JobId,
     walk: Walk,
     asker: Asker,
+    /// The question waited for the reading of what has changed that is kept: it tells what is open, too. Else only what
+    /// is final may be taken from it, for it may be older than the question.
+    kept: bool,
 }
 
 /// Questions under way.
@@ -37,24 +40,35 @@
 
 impl Node {
     /// A job that awaits others is submitted, and not known so far. Those must have been accepted, by whomever.
-    pub(super) fn accept_after(&mut self, id: &JobId, request: RequestId, record: Box<JobRecord>) {
+    pub(super) fn accept_after(
+        &mut self,
+        id: &JobId,
+        request: RequestId,
+        record: Box<JobRecord>,
+        kept: bool,
+    ) {
         let walk = Walk::new(&record.awaits);
-        self.walk(Walker { job: id.clone(), walk, asker: Asker::Accept(request, record) });
+        self.walk(Walker { job: id.clone(), walk, asker: Asker::Accept(request, record), kept });
     }
 
-    /// Somebody asks about a job that awaits others, and that a read begun since has found to be open.
-    pub(super) fn answer_after(&mut self, id: &JobId, awaits: &[JobId], waiter: Waiter) {
-        self.walk(Walker {
-            job: id.clone(),
-            walk: Walk::new(awaits),
-            asker: Asker::Answer(waiter),
-        });
+    /// Somebody asks about a job that awaits others, and that a read begun since has found to be open: the one of what is
+    /// `kept`, or one of its own.
+    pub(super) fn answer_after(
+        &mut self,
+        id: &JobId,
+        awaits: &[JobId],
+        waiter: Waiter,
+        kept: bool,
+    ) {
+        let (walk, asker) = (Walk::new(awaits), Asker::Answer(waiter));
+        self.walk(Walker { job: id.clone(), walk, asker, kept });
     }
 
     /// Goes on with a question, as far as what is known answers it; then a job is read.
     fn walk(&mut self, mut walker: Walker) {
         while let Some(id) = walker.walk.next().cloned() {
-            let seen = if valid_id(&id) { self.seen_here(&id) } else { Some(Seen::Never) };
+            let seen =
+                if valid_id(&id) { self.seen_here(&id, walker.kept) } else { Some(Seen::Never) };
             match seen {
                 Some(seen) => walker.walk.tell(&seen),
                 None if !self.may_walk() => {
@@ -104,13 +118,14 @@
         self.reply(request, reply);
     }
 
-    /// What this controller knows of a job without a read: what is over stays so, and the rest is of the read that
-    /// serves whoever asks.
-    fn seen_here(&self, id: &JobId) -> Option<Seen> {
-        match self.finals.get(id) {
+    /// What this controller knows of a job without a read: what is over or cancelled stays so, and what is open may be
+    /// told by a reading that began after the question.
+    fn seen_here(&self, id: &JobId, kept: bool) -> Option<Seen> {
+        let seen = match self.finals.get(id) {
             Some(record) => Some(Seen::Ended(record.fate(self.now.wall))),
             None => self.mirror.seen(id, self.now.wall),
-        }
+        };
+        seen.filter(|seen| kept || matches!(seen, Seen::Ended(_)))
     }
 
     fn read_for_walk(&mut self, walk: u64, job: JobId, last_place: bool) {
--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -189,14 +189,15 @@
         if waits && self.mirror.serves() && self.mirrored() < self.budget.polls {
             return self.ask_mirror(id, Waiter { request, intent: Intent::Create(record) });
         }
-        self.accept(&id, request, record);
+        self.accept(&id, request, record, false);
     }
 
-    /// Accepts a job, unless it is known, or awaits one that is not.
-    fn accept(&mut self, id: &JobId, request: RequestId, record: Box<JobRecord>) {
+    /// Accepts a job, unless it is known, or awaits one that is not. `kept`: the reading of what has changed is not older
+    /// than the question.
+    fn accept(&mut self, id: &JobId, request: RequestId, record: Box<JobRecord>, kept: bool) {
         match record.awaits.is_empty() {
             true => self.create(id, request, &record, Status::Pending),
-            false => self.accept_after(id, request, record),
+            false => self.accept_after(id, request, record, kept),
         }
     }
 
@@ -231,7 +232,7 @@
     /// A read of what has changed shows no such job: over and moved, or never accepted.
     pub(super) fn not_live(&mut self, id: &JobId, waiter: Waiter) {
         match waiter.intent {
-            Intent::Create(record) => self.accept(id, waiter.request, record),
+            Intent::Create(record) => self.accept(id, waiter.request, record, true),
             _ => self.read_final(id, waiter),
         }
     }
@@ -260,7 +261,7 @@
 
     pub(super) fn read_job(&mut self, id: &JobId, waiter: Waiter) {
         if let Intent::Create(record) = waiter.intent {
-            return self.accept(id, waiter.request, record);
+            return self.accept(id, waiter.request, record, false);
         }
         if self.store.away() || !self.store.has_room(self.budget.calls) {
             let reply = Reply::later("the state service does not answer");
@@ -290,7 +291,7 @@
             }
             Shown::Live => match self.mirror.awaits(id) {
                 None => self.tell_live(id, waiter),
-                Some(awaits) => self.answer_after(id, &awaits, waiter),
+                Some(awaits) => self.answer_after(id, &awaits, waiter, true),
             },
             Shown::Unread => self.read_job(id, waiter),
         }
@@ -496,7 +497,7 @@
                     self.tell_cancelled(told, record.cancelled_wall);
                 }
                 _ if record.awaits.is_empty() => self.tell_live(id, waiter),
-                _ => self.answer_after(id, &record.awaits, waiter),
+                _ => self.answer_after(id, &record.awaits, waiter, false),
             }
         }
         if cancels.is_empty() {
--- a/tests/answers_small/cases.rs
+++ b/tests/answers_small/cases.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A day of some seconds on which so many jobs come and go.
-fn day(seed: u64, jobs: u64, ways: Ways, memory_mb: f64) -> Small {
+fn day(seed: u64, jobs: u64, stages: u64, ways: Ways, memory_mb: f64) -> Small {
     let mut small = Small::new(seed, ways, memory_mb);
     if memory_mb < 1.0 {
         // More than are kept for polls: every question is a read of its job's own key.
@@ -12,6 +12,11 @@
     small.run(3_000);
     for n in 0..jobs {
         small.submit(3_000 + n * 150, format!("wk-{n}"));
+        let mut before = small.ids.len() - 1;
+        for stage in 0..stages {
+            small.known_job(format!("wk-{n}s{stage}"), Some(before));
+            before += 1;
+        }
     }
     if seed % 3 == 2 {
         let node = small.rng.random_range(0..NODES);
@@ -33,16 +38,24 @@
 /// answers about a job, of all controllers, follow one order.
 #[test]
 fn answers_of_all_controllers_follow_one_order() {
-    one_order(40.0, 0..30);
+    one_order(40.0, 0, 0..30);
+}
+
+/// The same of jobs that await others: once a job before it is called off, no controller calls one open that has called
+/// it off, whatever it keeps and however old that is.
+#[test]
+fn answers_about_stages_follow_one_order() {
+    one_order(40.0, 2, 0..15);
+    one_order(0.2, 2, 0..15);
 }
 
 /// The same where nothing is kept for polls: questions about one job share a read of its key that began after them.
 #[test]
 fn answers_from_single_keys_follow_one_order() {
-    one_order(0.2, 0..15);
+    one_order(0.2, 0, 0..15);
 }
 
-fn one_order(memory_mb: f64, days: std::ops::Range<u64>) {
+fn one_order(memory_mb: f64, stages: u64, days: std::ops::Range<u64>) {
     let least = days.end;
     let mut met: BTreeMap<&str, u64> = BTreeMap::new();
     for seed in seeds(days) {
@@ -51,7 +64,7 @@
             1 => Ways { slow_ms: 900, lost: 0.05, late: 0.02, refused: 0.01 },
             _ => Ways { slow_ms: 500, lost: 0.15, late: 0.05, refused: 0.03 },
         };
-        let small = day(seed, 40, ways, memory_mb);
+        let small = day(seed, if stages > 0 { 14 } else { 40 }, stages, ways, memory_mb);
         assert!(small.broken.is_empty(), "seed {seed}: {:?}", small.broken);
         for (what, times) in small.met {
             *met.entry(what).or_default() += times;
@@ -64,6 +77,7 @@
     for what in ["moved while asked about", "ended while asked about"] {
         assert!(met[what] > 10 * least, "{what}: {met:?}");
     }
+    assert!(stages == 0 || met["called off"] > 3 * least, "called off: {met:?}");
 }
 
 /// A call without an answer says that the state service is away, unless one that left later has its answer.
@@ -182,8 +196,7 @@
         (small.loses, small.scripted) = (accepts_or_cancels, true);
         for n in 0..6 {
             small.put(&format!("wk-x{n}"), false);
-            small.ids.push(format!("wk-{n}"));
-            small.told.push(BTreeMap::new());
+            small.known_job(format!("wk-{n}"), None);
         }
         for (job, node) in (0..12).zip([0, 1, 2, 2, 0, 1, 1, 2, 0, 0, 1, 2]) {
             let at = small.now - BEGIN + 400;
@@ -309,8 +322,7 @@
 impl Small {
     /// A job that nobody accepts, by its submission.
     fn odd(&mut self, body: &serde_json::Value) -> usize {
-        self.ids.push(body["name_id"].as_str().expect("it has one").into());
-        self.told.push(BTreeMap::new());
+        self.known_job(body["name_id"].as_str().expect("it has one").into(), None);
         self.ids.len() - 1
     }
 
@@ -364,7 +376,8 @@
         }
         let apply = vec![Change::Write { write: keys::job(id), value, mooring: None }];
         self.store.commit(&Commit { when: Vec::new(), apply });
-        self.ids.push(id.into());
+        self.known_job(id.into(), None);
+        self.told.pop();
         self.told.push(BTreeMap::from([(Told::Accepted, 0)]));
         self.wake_follows();
     }
--- a/tests/answers_small/main.rs
+++ b/tests/answers_small/main.rs
@@ -91,6 +91,8 @@
     /// Questions that wait: by node and number, the job, what, and when asked.
     asked: BTreeMap<(usize, u64), (usize, What, u64)>,
     ids: Vec<String>,
+    /// The job that each awaits: it is submitted as soon as that one is accepted.
+    after: Vec<Option<usize>>,
     /// What was told of each job so far, and when first.
     told: Vec<BTreeMap<Told, u64>>,
     cancels: BTreeSet<usize>,
@@ -120,6 +122,7 @@
             follows: Vec::new(),
             asked: BTreeMap::new(),
             ids: Vec::new(),
+            after: Vec::new(),
             told: Vec::new(),
             cancels: BTreeSet::new(),
             broken: Vec::new(),
@@ -154,9 +157,14 @@
         self.met.get(what).copied().unwrap_or(0)
     }
 
-    fn submit(&mut self, at_ms: u64, id: String) {
+    fn known_job(&mut self, id: String, after: Option<usize>) {
         self.ids.push(id);
+        self.after.push(after);
         self.told.push(BTreeMap::new());
+    }
+
+    fn submit(&mut self, at_ms: u64, id: String) {
+        self.known_job(id, None);
         let node = self.rng.random_range(0..NODES);
         self.at(BEGIN + at_ms, Ev::Ask(self.ids.len() - 1, node, What::Submit));
     }
@@ -383,6 +391,18 @@
         if record.cancelled {
             return;
         }
+        if let Some(before) = self.after[job] {
+            let places = [keys::job(&self.ids[before]), keys::end(&self.ids[before])];
+            let found = places.iter().find_map(|key| self.store.get(key));
+            let last =
+                found.and_then(|p| serde_json::from_value::<FinalRecord>(p.value.clone()).ok());
+            match last.map(|l| l.ending) {
+                Some(Ending::Done) => {}
+                Some(Ending::Cancelled) => return,
+                // It waits.
+                None => return self.at(self.now + 700, Ev::End(job)),
+            }
+        }
         if self.open(job) {
             self.count("ended while asked about");
         }
@@ -415,7 +435,10 @@
         let id = self.ids[job].clone();
         let ask = match what {
             What::Submit => {
-                let body = job_body(&id);
+                let mut body = job_body(&id);
+                if let Some(before) = self.after[job] {
+                    body["awaits"] = serde_json::json!([self.ids[before]]);
+                }
                 Ask::Submit(rmp_serde::to_vec_named(&body).expect("JSON packs"))
             }
             What::Poll if self.rng.random_bool(0.2) => Ask::Press(id),
@@ -446,6 +469,8 @@
             (200 | 201, "pending" | "running") => Told::Accepted,
             (200, "done") => Told::Done,
             (200, "withdrawn") => Told::Cancelled,
+            // Accepted, and called off: what it awaits was cancelled before.
+            (201, "withdrawn") if self.after[job].is_some() => Told::Cancelled,
             (404, _) => Told::Unknown,
             (503, _) => {
                 self.count("turned away");
@@ -470,7 +495,12 @@
             let id = &self.ids[job];
             self.broken.push(format!("{id}: {told:?} for {what:?} after {before:?}"));
         }
+        let ahead = std::iter::successors(self.after[job], |before| self.after[*before]);
+        let before = ahead.into_iter().any(|before| self.cancels.contains(&before));
         if told == Told::Cancelled && !self.cancels.contains(&job) {
+            self.count("called off");
+        }
+        if told == Told::Cancelled && !self.cancels.contains(&job) && !before {
             self.broken.push(format!("{} was not cancelled", self.ids[job]));
         }
         self.count("answered");
@@ -485,6 +515,12 @@
         if self.scripted {
             return;
         }
+        let next = self.after.iter().position(|a| *a == Some(job));
+        if let Some(next) = next.filter(|n| told == Told::Accepted && self.told[*n].is_empty()) {
+            let (at, node) =
+                (self.now + self.rng.random_range(1..900), self.rng.random_range(0..NODES));
+            self.at(at, Ev::Ask(next, node, What::Submit));
+        }
         for n in 0..NODES {
             for what in [What::Poll, What::Submit, What::Poll] {
                 for _ in 0..2 {
