--- a/crates/core/src/job/record.rs
+++ b/crates/core/src/job/record.rs
@@ -42,6 +42,10 @@
     pub fn end(id: &str) -> String {
         format!("{FINALS}{id}")
     }
+    /// Key of a job's last place, or of its first.
+    pub fn place(id: &str, last: bool) -> String {
+        if last { end(id) } else { job(id) }
+    }
 }
 
 /// Key of a chunk of bindings.
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -136,7 +136,7 @@
     }
 
     fn read_ended(&mut self, id: JobId, last_place: bool) {
-        let key = if last_place { keys::end(&id) } else { keys::job(&id) };
+        let key = keys::place(&id, last_place);
         let until = Patience::Once(self.now.steady + STORE_TIMEOUT_MS);
         let purpose = Purpose::ReadEnded { job: id, last_place };
         self.store.push(Call::Get(key), purpose, Urgency::Tidy, until);
--- a/crates/core/src/node/pipelines.rs
+++ b/crates/core/src/node/pipelines.rs
@@ -129,7 +129,7 @@
     }
 
     fn read_for_walk(&mut self, walk: u64, job: JobId, last_place: bool) {
-        let key = if last_place { keys::end(&job) } else { keys::job(&job) };
+        let key = keys::place(&job, last_place);
         let until = Patience::Once(self.now.steady + USER_STORE_TIMEOUT_MS);
         let purpose = Purpose::WalkTo { walk, job, last_place };
         self.store.push(Call::Get(key), purpose, Urgency::Work, until);
@@ -230,7 +230,7 @@
     job: JobId,
     last_place: bool,
 ) {
-    let key = if last_place { keys::end(&job) } else { keys::job(&job) };
+    let key = keys::place(&job, last_place);
     let purpose = Purpose::ReadAwaited { era: leader.era, job, last_place };
     store.push(Call::Get(key), purpose, Urgency::Work, Patience::Always);
 }
--- a/tests/answers_small/cases.rs
+++ b/tests/answers_small/cases.rs
@@ -12,10 +12,9 @@
     small.run(3_000);
     for n in 0..jobs {
         small.submit(3_000 + n * 150, format!("wk-{n}"));
-        let mut before = small.ids.len() - 1;
         for stage in 0..stages {
+            let before = small.ids.len() - 1;
             small.known_job(format!("wk-{n}s{stage}"), Some(before));
-            before += 1;
         }
     }
     if seed % 3 == 2 {
