--- a/crates/core/src/node/requests.rs
+++ b/crates/core/src/node/requests.rs
@@ -361,7 +361,11 @@
                 }
                 // Too large for the state service, now and ever; but a known job is answered from its record.
                 Outcome::Malformed(_) => {
-                    let refusal = problem(400, "the job is too large; name fewer types".into());
+                    let refusal = problem(
+                        400,
+                        "the job is too large; name fewer types, or fewer jobs that it awaits"
+                            .into(),
+                    );
                     self.look_up(job, Waiter { request, intent: Intent::Known(refusal) });
                 }
                 _ => self.reply(request, Reply::later("the state service did not confirm")),
--- a/crates/pipelines/src/backward.rs
+++ b/crates/pipelines/src/backward.rs
@@ -86,7 +86,7 @@
         return found.clone();
     }
     // A circle that a record claims ends here.
-    if above.len() >= WALK_MOST || !above.insert(job.clone()) {
+    if above.len() >= STAGES_MOST || !above.insert(job.clone()) {
         return None;
     }
     let mut found = asked(job).map(|own| Rest { tail: None, priority: own.priority });
--- a/crates/pipelines/src/constants.rs
+++ b/crates/pipelines/src/constants.rs
@@ -1,7 +1,10 @@
 //! Constants of pipelines, with their units and reasons.
 
-/// Jobs looked at to tell what becomes of one, at most: users' pipelines have some ten, and each may cost a read.
-pub const WALK_MOST: usize = 400;
+/// Jobs looked at to tell what becomes of one, at most: far beyond any pipeline, whose jobs number some ten, since what is
+/// not looked at could have been called off.
+pub const WALK_MOST: usize = 10_000;
+/// Stages one behind the other that deadlines are worked out for (stack): what is further ahead has none yet.
+pub const STAGES_MOST: usize = 100;
 /// Chance with which what comes after a stage fits into the time that is left for it. Placement asks for its own
 /// chance of the stage before: a deadline so late that the rest has an even chance still tells what is urgent, and
 /// one that leaves the rest much more would call whole pipelines hopeless that are not.
--- a/crates/wire/src/constants.rs
+++ b/crates/wire/src/constants.rs
@@ -12,5 +12,5 @@
 pub const HULLS_MOST: usize = 256;
 /// Deepest nesting of a submission that is read (stack).
 pub const DEPTH_MOST: usize = 16;
-/// Most jobs that one may await: with their names a record of 2 KiB holds them and what the job asks for.
-pub const AWAITS_MOST: usize = 64;
+/// Most jobs that one may await (processor, requests): what their names take of a value is for the state service to say.
+pub const AWAITS_MOST: usize = 256;
