Review: each run of a case has a loopback address of its own

Cause: in a trial of six clusters side by side, a port that was free while a controller restarted was taken by another cluster, whose users then called off jobs of the first one. Change: the stand-ins and the controllers of a run listen on an address from 127.0.0.0/8 that depends on the process; a fourth case, a gang at its team's limit, is in the stand-ins for trial.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -3,7 +3,7 @@
 
 use crate::services::{Cloud, MachineType, StateLimits, StateService};
 use crate::wire::{V, t};
-use crate::world::{Controllers, Site, World, free_address, job};
+use crate::world::{Controllers, Site, World, any_port, free_address, job};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -30,8 +30,8 @@
     let fronts = (0..3).map(|_| free_address()).collect();
     let clusters: Vec<_> = (0..3).map(|_| free_address()).collect();
     let world = World::new(case, site, fronts);
-    let state_listener = TcpListener::bind("127.0.0.1:0").ok()?;
-    let cloud_listener = TcpListener::bind("127.0.0.1:0").ok()?;
+    let state_listener = TcpListener::bind(any_port()).ok()?;
+    let cloud_listener = TcpListener::bind(any_port()).ok()?;
     let (state_at, cloud_at) = (state_listener.local_addr().ok()?, cloud_listener.local_addr().ok()?);
     let state = StateService::start(state_listener, &site.state);
     let cloud = Cloud::start(cloud_listener, types, site.cloud_rps, site.list_lag_s, world.clone());
@@ -59,6 +59,7 @@
         "1" => many_tasks_on_a_machine(trouble),
         "2" => huge_arrays(trouble),
         "3" => cancel_after_lowered_limits(trouble),
+        "4" => gang_at_the_limit(trouble),
         _ => None,
     };
     outcome.unwrap_or(2)
@@ -274,3 +275,24 @@
     world.note(if answered { "HELD" } else { "BROKEN" });
     Some(i32::from(!answered))
 }
+
+/// Case 4: a gang uses exactly its team's limit.
+fn gang_at_the_limit(trouble: bool) -> Option<i32> {
+    let site = Site { teams: vec![("yard-systems", 10.0, 20.0)], ..cold_yards() };
+    let cluster = start("4", &site, frost_types(), &[])?;
+    let world = &cluster.world;
+    let cpus = if trouble { 20.0 / 3.0 } else { 6.6 };
+    world.note(&format!("three tasks of {cpus} CPUs use {} of the limit of 20.0", 3.0 * cpus));
+    let gang = job("wk-000001", "seismic-tie", "yard-systems", "gang", "standard", 3, cpus, 6.4, 5.0);
+    if world.submit("wk-000001", &spec(gang, vec![]), 5.0) != 201 {
+        return None;
+    }
+    let is_done = wait_for(world, 100.0, || {
+        sleep(Duration::from_secs(2));
+        world.poll("wk-000001").as_deref() == Some("done")
+    });
+    let runs = world.counts("wk-000001").runs;
+    world.note(&format!("wk-000001: {runs} starts, done: {is_done}"));
+    world.note(if runs > 0 { "HELD" } else { "BROKEN" });
+    Some(i32::from(runs == 0))
+}
--- a/review/standin/services.rs
+++ b/review/standin/services.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the state service, the cloud and the workers, as the protocol page describes them.
 
 use crate::wire::{V, call, map, serve, t};
-use crate::world::World;
+use crate::world::{World, any_port};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
@@ -505,7 +505,7 @@
 
 impl Worker {
     fn new(name: &str, kind: MachineType, zone: &str, spot: bool, world: Arc<World>) -> Arc<Worker> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind(any_port()).expect("a free port");
         let data = WorkerData {
             session: 1,
             tick: 0,
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -183,8 +183,15 @@
     pub back_s: f64,
 }
 
+/// The loopback address of this run. Each run has one of its own, so that a port that is free for a moment, while a
+/// controller restarts, is not taken by another run or by an outgoing connection.
+pub fn any_port() -> SocketAddr {
+    let pid = std::process::id();
+    SocketAddr::from(([127, (1 + pid % 250) as u8, (1 + pid / 250 % 250) as u8, 1], 0))
+}
+
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    TcpListener::bind(any_port()).and_then(|l| l.local_addr()).expect("a free port")
 }
 
 struct Process {
