--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -147,17 +147,21 @@
 
 /// Case 2: an array of many small tasks, beside a service.
 fn many_tasks_on_a_machine(trouble: bool) -> Option<i32> {
-    let cluster = start("2", &cold_yards(), frost_types(), &[("frost-large", "norrkoping-yard"), ("frost-large", "gavle-yard")])?;
+    // One large machine in each zone. All that is submitted here asks for that of one zone, which is up already.
+    let mut types = frost_types();
+    types[2].capacity = 1;
+    let cluster = start("2", &cold_yards(), types, &[("frost-large", "norrkoping-yard")])?;
+    let there = || vec![("hulls", V::List(vec![t("frost-large")])), ("dock", t("norrkoping-yard"))];
     let world = &cluster.world;
     let thermo = job("wk-000001", "yard-thermo", "yard-systems", "service", "production", 1, 4.0, 6.0, 0.0);
-    let thermo = spec(thermo, vec![("hulls", V::List(vec![t("frost-large")]))]);
+    let thermo = spec(thermo, there());
     if world.submit("wk-000001", &thermo, 0.0) != 201 || !wait_for(world, 40.0, || world.counts("wk-000001").runs > 0) {
         return None;
     }
     // 60 CPUs of work at once in either run.
     let (shards, cpus, memory_gb) = if trouble { (3_000, 0.02, 0.08) } else { (240, 0.25, 0.45) };
     let sweep = job("wk-000002", "door-open-sweep", "liu-logistics-lab", "array", "low", shards, cpus, memory_gb, 20.0);
-    let sweep = spec(sweep, vec![("hulls", V::List(vec![t("frost-large")]))]);
+    let sweep = spec(sweep, there());
     if world.submit("wk-000002", &sweep, 20.0) != 201 {
         return None;
     }
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -311,11 +311,17 @@
     }
 }
 
-/// Memory that a process holds without the pages of files (program text), MB.
+/// Memory that a process holds without the pages of files (program text), MB. Where the system doesn't tell it, resident
+/// less shared memory.
 fn anonymous_mb(pid: u32) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+    if let Some(kb) = line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok()) {
+        return kb / 1024.0;
+    }
+    let pages = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    let pages: Vec<f64> = pages.split(' ').filter_map(|n| n.trim().parse().ok()).collect();
+    if pages.len() > 2 { (pages[1] - pages[2]) * 4.0 / 1024.0 } else { 0.0 }
 }
 
 fn settings(site: &Site, world: &World, clusters: &[SocketAddr], n: usize, state: SocketAddr, cloud: SocketAddr) -> String {
