Review: each script names its record.txt and ends what it started

Cause: the check of the form finds nothing in the folders that writes record.txt: the stand-in wrote it, by a path of its own. A script that was cut short left its controllers running, and one that was being started again as a case ended could be left too. Change: run.sh passes the path of the record, has a temporary folder of its own, and on its end or on a signal ends by id what is left; nothing is started once a case has ended.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -26,10 +26,10 @@
 }
 
 /// Starts stand-ins and controllers, and waits until every controller answers `/up` with 200.
-fn start(case: &str, site: &Site, types: Vec<MachineType>, running: &[(&str, &str)]) -> Option<Cluster> {
+fn start(record: &str, site: &Site, types: Vec<MachineType>, running: &[(&str, &str)]) -> Option<Cluster> {
     let fronts = (0..3).map(|_| free_address()).collect();
     let clusters: Vec<_> = (0..3).map(|_| free_address()).collect();
-    let world = World::new(case, site, fronts);
+    let world = World::new(record, site, fronts);
     let state_listener = TcpListener::bind(any_port()).ok()?;
     let cloud_listener = TcpListener::bind(any_port()).ok()?;
     let (state_at, cloud_at) = (state_listener.local_addr().ok()?, cloud_listener.local_addr().ok()?);
@@ -54,11 +54,12 @@
         .then_some(cluster)
 }
 
-pub fn run(case: &str, trouble: bool) -> i32 {
+/// `record`: the file for what was sent, answered and run.
+pub fn run(case: &str, record: &str, trouble: bool) -> i32 {
     let outcome = match case {
-        "1" => huge_gang(trouble),
-        "2" => many_tasks_on_a_machine(trouble),
-        "3" => cancel_after_lowered_limits(trouble),
+        "1" => huge_gang(record, trouble),
+        "2" => many_tasks_on_a_machine(record, trouble),
+        "3" => cancel_after_lowered_limits(record, trouble),
         _ => None,
     };
     outcome.unwrap_or(2)
@@ -114,8 +115,8 @@
 }
 
 /// Case 1: a gang of as many tasks as a job may have.
-fn huge_gang(trouble: bool) -> Option<i32> {
-    let cluster = start("1", &cold_yards(), frost_types(), &[("frost-large", "norrkoping-yard"), ("frost-large", "gavle-yard")])?;
+fn huge_gang(record: &str, trouble: bool) -> Option<i32> {
+    let cluster = start(record, &cold_yards(), frost_types(), &[("frost-large", "norrkoping-yard"), ("frost-large", "gavle-yard")])?;
     let world = &cluster.world;
     // 60 CPUs and 60 GB at once in either run: the gang fits on one of the two machines.
     let shards = if trouble { 100_000 } else { 100 };
@@ -146,11 +147,11 @@
 }
 
 /// Case 2: an array of many small tasks, beside a service.
-fn many_tasks_on_a_machine(trouble: bool) -> Option<i32> {
+fn many_tasks_on_a_machine(record: &str, trouble: bool) -> Option<i32> {
     // One large machine in each zone. All that is submitted here asks for that of one zone, which is up already.
     let mut types = frost_types();
     types[2].capacity = 1;
-    let cluster = start("2", &cold_yards(), types, &[("frost-large", "norrkoping-yard")])?;
+    let cluster = start(record, &cold_yards(), types, &[("frost-large", "norrkoping-yard")])?;
     let there = || vec![("hulls", V::List(vec![t("frost-large")])), ("dock", t("norrkoping-yard"))];
     let world = &cluster.world;
     let thermo = job("wk-000001", "yard-thermo", "yard-systems", "service", "production", 1, 4.0, 6.0, 0.0);
@@ -186,7 +187,7 @@
 }
 
 /// Case 3: the state service lowers its limits, then a user cancels a job that awaits many others.
-fn cancel_after_lowered_limits(trouble: bool) -> Option<i32> {
+fn cancel_after_lowered_limits(record: &str, trouble: bool) -> Option<i32> {
     let lowered = || StateLimits { rps: 120.0, write_rps: 21.0, value_kb: 2.0, txn_ops: 5 };
     let site = Site {
         zones: ["lautoka-shed", "suva-office", "nadi-depot"],
@@ -216,7 +217,7 @@
         capacity: 9,
     };
     let types = vec![reef("reef-small", 4.0, 32.0, 0.27, 20.0), reef("reef-medium", 8.0, 32.0, 0.42, 25.0), reef("reef-large", 16.0, 64.0, 0.98, 40.0)];
-    let cluster = start("3", &site, types, &[])?;
+    let cluster = start(record, &site, types, &[])?;
     let world = &cluster.world;
     const STEPS: usize = 140;
     let ids: Vec<String> = (0..STEPS).map(|n| format!("wk-{:06}", 1000 + n)).collect();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -39,8 +40,8 @@
 }
 
 impl World {
-    pub fn new(case: &str, site: &Site, fronts: Vec<SocketAddr>) -> Arc<World> {
-        let record = File::create(format!("review/{case}/record.txt")).expect("record.txt can be written");
+    pub fn new(record: &str, site: &Site, fronts: Vec<SocketAddr>) -> Arc<World> {
+        let record = File::create(record).expect("the record can be written");
         let shared = Shared { record, jobs: BTreeMap::new(), counts: BTreeMap::new() };
         Arc::new(World {
             started: Instant::now(),
@@ -208,6 +209,8 @@
     command: Vec<String>,
     mem_mb: f64,
     back: Duration,
+    /// Nothing is started any more. Read and set while `processes` is locked.
+    ended: AtomicBool,
 }
 
 impl Controllers {
@@ -216,7 +219,9 @@
         let deploy = std::fs::read_to_string("deploy/service.toml").expect("deploy/service.toml");
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = ")).expect("run in deploy/service.toml");
         let command: Vec<String> = run.trim().trim_matches('"').split(' ').map(str::to_string).collect();
-        let folder = std::env::temp_dir().join(format!("swiftsail-review-{}", std::process::id()));
+        // The folder of run.sh, which ends what `pids` names should this process be killed.
+        let folder = std::env::var_os("FOLDER").map(PathBuf::from);
+        let folder = folder.unwrap_or_else(|| std::env::temp_dir().join(format!("swiftsail-review-{}", std::process::id())));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let settings = (0..3)
             .map(|n| {
@@ -233,6 +238,7 @@
             command,
             mem_mb: site.mem_mb,
             back: Duration::from_secs_f64(site.back_s),
+            ended: AtomicBool::new(false),
         });
         (0..3).for_each(|n| controllers.launch(n));
         let (platform, world) = (controllers.clone(), world.clone());
@@ -246,6 +252,10 @@
     }
 
     fn launch(&self, n: usize) {
+        let mut processes = self.processes.lock().unwrap();
+        if self.ended.load(Ordering::SeqCst) {
+            return;
+        }
         let log = File::options().create(true).append(true).open(self.folder.join(format!("berth-{n}.log")));
         let child = Command::new(&self.command[0])
             .args(&self.command[1..])
@@ -255,8 +265,10 @@
             .stdout(Stdio::null())
             .stderr(log.expect("a log file"))
             .spawn();
-        let mut processes = self.processes.lock().unwrap();
         (processes[n].child, processes[n].ended_at) = (child.ok(), None);
+        let pids = processes.iter().filter_map(|process| process.child.as_ref());
+        let pids: String = pids.map(|child| format!("{}\n", child.id())).collect();
+        let _ = std::fs::write(self.folder.join("pids"), pids);
     }
 
     /// The platform: a process that holds more memory than its limit is killed, and one that has ended is started again.
@@ -298,7 +310,9 @@
 
     /// Ends all controllers. None is started again.
     pub fn end(&self) {
-        for process in self.processes.lock().unwrap().iter_mut() {
+        let mut processes = self.processes.lock().unwrap();
+        self.ended.store(true, Ordering::SeqCst);
+        for process in processes.iter_mut() {
             if let Some(mut child) = process.child.take() {
                 let _ = child.kill();
                 let _ = child.wait();
