Placement: only the soonest run queues become targets

Cause: a mapping round built a target for the run queue of every running task, some 400 bytes each, and then dropped all but `max_queues` of them. The share of a scheduling cycle in the memory budget did not count these.

Change: the ends of the queues are computed one by one, only the soonest `max_queues` are held meanwhile, and only these become targets.

--- a/crates/controller/src/placement/target_collection.rs
+++ b/crates/controller/src/placement/target_collection.rs
@@ -11,9 +11,20 @@
 };
 use crate::job::{JobId, JobKind, JobSpec, JobState, MachineId, Priority};
 use crate::machine::{MachineState, Resources};
-use std::collections::HashMap;
+use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
 
+/// A run queue that may become a target. Ordered by when it ends, then in the order of collection.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct QueueCandidate {
+    free_at_ms: u64,
+    order: usize,
+    slot: SlotId,
+    /// Index of its machine among the targets.
+    target: usize,
+    completion: CompletionId,
+}
+
 impl MappingRound<'_> {
     /// The index of a zone. A new zone gets the next one.
     pub fn zone_index(&mut self, zone: &str) -> usize {
@@ -89,7 +100,6 @@
         let now = self.context.now;
         let lease_ms = self.context.lease_ms();
         let types = self.types;
-        let mut slots: Vec<(usize, SlotId, Resources)> = Vec::new();
         let state = self.cluster_state;
         let mut reserved = capacity_reserved_for_gangs(state, now);
         for (id, machine) in &state.machines {
@@ -136,11 +146,6 @@
             target.reserved_for_gangs = reserved.remove(id).unwrap_or_default();
             target.images =
                 machine.images.names().filter_map(|name| self.images.index_of(name)).collect();
-            if self.is_full {
-                for (job, task) in machine.tasks.keys() {
-                    slots.push((self.targets.len(), (id.clone(), job.clone(), *task), free));
-                }
-            }
             // In a mapping round, machines without free resources are targets too: their slots refer to them.
             if self.is_full || free.cpus > 0.0 {
                 target.completion_id = self.free_time_id(type_index, now as f64);
@@ -150,39 +155,7 @@
         if !self.is_full {
             return;
         }
-        let queue_limit = self.context.policy.queue_limit;
-        self.plan.targets_examined += slots.len() as u64;
-        let mut queues: Vec<(u64, PlacementTarget)> = Vec::new();
-        for (index, slot, free) in slots {
-            let Some(head) = self.cluster_state.jobs.get(&slot.1) else { continue };
-            let mut freed = Resources::for_task(&head.spec);
-            freed.add(&free);
-            if !self.plan.run_queues.has_capacity(&slot, queue_limit) {
-                continue;
-            }
-            let Some((type_index, mut completion)) = self.executing_completion(&slot) else {
-                continue;
-            };
-            let queue: Vec<JobId> = self.plan.run_queues.queue(&slot).cloned().collect();
-            for next in queue {
-                completion = self.completion_after(completion, &next, type_index);
-            }
-            let target = PlacementTarget {
-                target_kind: TargetKind::RunQueue(slot),
-                free: freed,
-                completion_id: completion,
-                ..self.targets[index].clone()
-            };
-            queues.push((self.completion_times.get(completion).mean() as u64, target));
-        }
-        // Every candidate evaluates every target: of very many run queues the soonest ones are enough.
-        let max_queues = self.context.policy.bounds.max_queues;
-        if queues.len() > max_queues {
-            queues.select_nth_unstable_by_key(max_queues, |queue| queue.0);
-            queues.truncate(max_queues);
-            queues.sort_by(|a, b| a.1.machine.cmp(&b.1.machine).then(a.0.cmp(&b.0)));
-        }
-        self.targets.extend(queues.into_iter().map(|queue| queue.1));
+        self.collect_queue_targets();
         for (request, requested_at) in state.provisioning.open_requests() {
             let Some(type_index) = types.iter().position(|t| t.name == request.machine_type) else {
                 continue;
@@ -205,6 +178,67 @@
         }
     }
 
+    /// Collects the run queues of the ready machines among the targets, those that are free soonest. Every candidate
+    /// evaluates every target, so of very many run queues the soonest ones are enough, and only those are built: there
+    /// may be as many slots as tasks run.
+    fn collect_queue_targets(&mut self) {
+        let max_queues = self.context.policy.bounds.max_queues;
+        let mut soonest: BinaryHeap<QueueCandidate> = BinaryHeap::new();
+        let mut slots_seen = 0;
+        for target in 0..self.targets.len() {
+            if self.targets[target].target_kind != TargetKind::ReadyMachine {
+                continue;
+            }
+            let machine = self.targets[target].machine.as_ref();
+            let machine = machine.and_then(|id| self.cluster_state.machines.get(id));
+            let Some(machine) = machine else { continue };
+            for (job, task) in machine.tasks.keys() {
+                slots_seen += 1;
+                let slot = (machine.id.clone(), job.clone(), *task);
+                let Some((free_at_ms, completion)) = self.queue_end(&slot) else { continue };
+                soonest.push(QueueCandidate {
+                    free_at_ms,
+                    order: slots_seen,
+                    slot,
+                    target,
+                    completion,
+                });
+                if soonest.len() > max_queues {
+                    soonest.pop();
+                }
+            }
+        }
+        self.plan.targets_examined += slots_seen as u64;
+        let mut soonest = soonest.into_vec();
+        soonest.sort_unstable_by_key(|candidate| candidate.order);
+        for QueueCandidate { slot, target, completion, .. } in soonest {
+            let Some(head) = self.cluster_state.jobs.get(&slot.1) else { continue };
+            let mut free = Resources::for_task(&head.spec);
+            free.add(&self.targets[target].free);
+            let target = PlacementTarget {
+                target_kind: TargetKind::RunQueue(slot),
+                free,
+                completion_id: completion,
+                ..self.targets[target].clone()
+            };
+            self.targets.push(target);
+        }
+    }
+
+    /// When a slot's run queue ends, ms, and the completion time of its last task. `None` if the queue is full, or its
+    /// executing task does not end by itself.
+    fn queue_end(&mut self, slot: &SlotId) -> Option<(u64, CompletionId)> {
+        if !self.plan.run_queues.has_capacity(slot, self.context.policy.queue_limit) {
+            return None;
+        }
+        let (type_index, mut completion) = self.executing_completion(slot)?;
+        let queue: Vec<JobId> = self.plan.run_queues.queue(slot).cloned().collect();
+        for next in queue {
+            completion = self.completion_after(completion, &next, type_index);
+        }
+        Some((self.completion_times.get(completion).mean() as u64, completion))
+    }
+
     /// Reserves headroom for services on machines that have their images cached.
     pub fn reserve_service_capacity(&mut self) {
         for (image, spec) in std::mem::take(&mut self.service_images) {
