A machine gets no more tasks than its report may carry

What callers saw: an array of 3,000 tasks of 0.02 CPUs was put on one machine. Its reports were larger than 64 KiB and got 400, its lease ended, and everything on it was killed over and over, a production replica too. A gang of 100,000 tasks that fits by CPUs on one machine can never be reported by it either.

Cause: placement counted CPUs, GPUs and memory, and nothing else that a machine has little of.

Change: the space in the report is a resource like the others, counted with the longest form of a task's entry and the length of its name. So placement, gangs, run queues, provisioning and consolidation all see it, and more machines are provisioned. An exited task keeps its space until its exit is committed. The simulation refuses reports that are too large, and records them, and responses and commands, as violations.

--- a/crates/controller/src/cluster_state/quota_usage.rs
+++ b/crates/controller/src/cluster_state/quota_usage.rs
@@ -65,11 +65,13 @@
 ) -> Occupancy {
     let mut occupancy = Occupancy { free: machine_type.resources(), has_replicas: false };
     for (job, task) in machine.tasks.keys() {
-        if let Some(job) = jobs.get(job)
-            && job.attempts.get(task).is_some_and(Attempt::occupies_resources)
-        {
+        let Some(job) = jobs.get(job) else { continue };
+        if job.attempts.get(task).is_some_and(Attempt::occupies_resources) {
             occupancy.free.subtract(&Resources::for_task(&job.spec));
             occupancy.has_replicas |= job.spec.kind == JobKind::Service;
+        } else {
+            // Its worker reports it until its exit is committed.
+            occupancy.free.subtract(&Resources::report_space_of(&job.spec));
         }
     }
     for orphan in machine.orphaned_tasks.values() {
--- a/crates/controller/src/constants/calls.rs
+++ b/crates/controller/src/constants/calls.rs
@@ -74,6 +74,13 @@
 /// Estimated size of a forwarded status report without its tasks, bytes.
 pub const REPORT_BYTES: usize = 250;
 
+/// Part of a status report that its tasks do not use, bytes: the names and numbers of the machine.
+pub const REPORT_ENVELOPE_BYTES: usize = 2 * 1024;
+
+/// Size of one task in a status report without its name, bytes, at most: an exited attempt with the longest cause, an
+/// attempt number of 20 digits and a saved checkpoint.
+pub const MAX_TASK_STATUS_BYTES: usize = 98;
+
 /// Estimated size of one task in a status report, bytes.
 pub const TASK_STATUS_BYTES: usize = 90;
 
--- a/crates/controller/src/job/mod.rs
+++ b/crates/controller/src/job/mod.rs
@@ -113,7 +113,9 @@
 impl Job {
     /// A job from its record. `now` is the monotonic time and `wall` the wall clock of the same moment, both in ms.
     pub fn new(id: JobId, record: &JobRecord, mod_revision: u64, now: Time, wall: u64) -> Job {
-        let spec = Arc::new(record.spec.clone());
+        let mut spec = record.spec.clone();
+        spec.set_task_name_bytes(&id);
+        let spec = Arc::new(spec);
         let age_ms = wall.saturating_sub(record.accepted_wall);
         let deadline = spec.deadline_s.map(|deadline_s| {
             let deadline_ms = (deadline_s * MS_PER_S).min(MAX_DEADLINE_MS) as u64;
--- a/crates/controller/src/machine/machine_type.rs
+++ b/crates/controller/src/machine/machine_type.rs
@@ -73,7 +73,7 @@
 
     /// Resources of an empty machine.
     pub fn resources(&self) -> Resources {
-        Resources { cpus: self.cpus, gpus: self.gpus, memory_gb: self.memory_gb }
+        Resources::of_machine(self.cpus, self.gpus, self.memory_gb)
     }
 
     /// Price per hour, spot or on demand.
--- a/crates/protocol/src/submission.rs
+++ b/crates/protocol/src/submission.rs
@@ -196,6 +196,7 @@
         checkpoint_interval_s: fields.number("mark_s")?,
         checkpoint_duration_s: fields.number("stow_s")?,
         deadline_s: fields.optional_number("due_s")?,
+        task_name_bytes: 0,
     })
 }
 
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -87,9 +87,19 @@
     pub checkpoint_duration_s: f64,
     /// Deadline relative to the submission, seconds; none: no deadline.
     pub deadline_s: Option<f64>,
+    /// Length of the longest name of its tasks, bytes; 0 where the job's id is not known. Not stored or sent.
+    #[serde(skip)]
+    pub task_name_bytes: u32,
 }
 
 impl JobSpec {
+    /// Sets [`JobSpec::task_name_bytes`] for a job with this id.
+    pub fn set_task_name_bytes(&mut self, id: &str) {
+        let last_task = self.tasks.saturating_sub(1);
+        let digits = last_task.checked_ilog10().unwrap_or(0) + 1;
+        self.task_name_bytes = id.len() as u32 + 1 + digits;
+    }
+
     /// Maximum number of tasks that may run in one zone at a time.
     pub fn max_tasks_per_zone(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
--- a/crates/simulation/src/simulation/actions.rs
+++ b/crates/simulation/src/simulation/actions.rs
@@ -17,6 +17,7 @@
             Action::Reply(id, reply) => match self.requesters.remove(&(n, incarnation, id)) {
                 Some(Requester::Worker(name, session, sent)) => {
                     self.check_answer_token(n, &reply);
+                    self.check_response_size(&name, &reply);
                     if self.is_inbound_unreachable(&name, true) {
                         let timeout_at = (sent + 4_000).max(at);
                         return self.schedule(
--- a/crates/simulation/src/simulation/event_handlers.rs
+++ b/crates/simulation/src/simulation/event_handlers.rs
@@ -127,6 +127,7 @@
                 );
             }
             SimulationEvent::DirectCommands(n, incarnation, address, direct) => {
+                self.check_commands_size(&address, &direct);
                 let now = self.now;
                 // A machine that hangs processes the commands when it resumes (protocol: messages may be delayed).
                 let hang_until = self
@@ -187,7 +188,8 @@
                 }
                 let is_cut_off = self.is_partitioned(n, |c| c.workers)
                     || self.is_machine_partitioned(n, &report.machine);
-                if self.controllers[n].is_none() || is_cut_off {
+                let is_lost = self.controllers[n].is_none() || is_cut_off;
+                if is_lost || self.is_report_refused(&report) {
                     let (name, session) = (report.machine.clone(), report.session);
                     return self.schedule(
                         self.now + 1,
--- a/crates/simulation/src/simulation/invariants.rs
+++ b/crates/simulation/src/simulation/invariants.rs
@@ -60,6 +60,7 @@
                 let total = match machine.machine_type.as_str() {
                     "s4" => 4.0,
                     "g2" => 24.0,
+                    "l64" => 64.0,
                     _ => 8.0,
                 };
                 let allocated = machine.tasks.keys().filter_map(|(job, task)| {
--- a/crates/simulation/src/simulation/mod.rs
+++ b/crates/simulation/src/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod event_handlers;
 mod fault_windows;
 mod invariants;
+mod message_sizes;
 mod priority_inversions;
 mod reachability_faults;
 mod record;
--- a/crates/simulation/src/simulation/priority_inversions.rs
+++ b/crates/simulation/src/simulation/priority_inversions.rs
@@ -51,11 +51,8 @@
             .iter()
             .map(|o| &o.machine_type)
             .find(|h| h.name == type_name)?;
-        Some(Resources {
-            cpus: machine_type.cpus,
-            gpus: machine_type.gpus,
-            memory_gb: machine_type.memory_gb,
-        })
+        let (cpus, gpus) = (machine_type.cpus, machine_type.gpus);
+        Some(Resources::of_machine(cpus, gpus, machine_type.memory_gb))
     }
 
     /// Called after an event of a controller: if a scheduling cycle has run, compares its bindings with the waiting jobs.
--- a/crates/simulation/src/simulation/scenario.rs
+++ b/crates/simulation/src/simulation/scenario.rs
@@ -69,6 +69,7 @@
         checkpoint_interval_s: 0.0,
         checkpoint_duration_s: 0.0,
         deadline_s: (kind == JobKind::Array).then_some(600.0),
+        task_name_bytes: 0,
     }
 }
 
--- a/src/commands/jobs.rs
+++ b/src/commands/jobs.rs
@@ -123,6 +123,7 @@
         checkpoint_interval_s: job.checkpoint_s,
         checkpoint_duration_s: job.save_s,
         deadline_s: job.deadline_s,
+        task_name_bytes: 0,
     };
     Ok((spec, awaits))
 }
--- a/tests/recorded_bytes/published.rs
+++ b/tests/recorded_bytes/published.rs
@@ -65,6 +65,7 @@
         checkpoint_interval_s: 30.0,
         checkpoint_duration_s: 4.0,
         deadline_s: Some(900.0),
+        task_name_bytes: 0,
     }
 }
 
--- a/tests/recorded_bytes/records.rs
+++ b/tests/recorded_bytes/records.rs
@@ -45,6 +45,7 @@
         checkpoint_interval_s: 30.0,
         checkpoint_duration_s: 4.0,
         deadline_s: Some(900.0),
+        task_name_bytes: 0,
     }
 }
 
@@ -57,6 +58,7 @@
         spread: true,
         spot: false,
         deadline_s: None,
+        task_name_bytes: 0,
         ..full_spec()
     }
 }
