Placement: run queues in the order of earlier versions

Cause: since the targets of a truncated set of run queues stood in the order of their tasks, not soonest first on each machine as before, and a slot that ends later than all held ones was pushed and popped again. Change: the earlier order, and such slots are passed over. Result: tests/leader_memory.rs and tests/scale.rs hold.

--- a/crates/controller/src/placement/target_collection.rs
+++ b/crates/controller/src/placement/target_collection.rs
@@ -198,6 +198,10 @@
                 slots_seen += 1;
                 let slot = (machine.id.clone(), job.clone(), *task);
                 let Some((free_at_ms, completion)) = self.queue_end(&slot) else { continue };
+                let latest = soonest.peek().filter(|_| soonest.len() >= max_queues);
+                if latest.is_some_and(|latest| latest.free_at_ms <= free_at_ms) {
+                    continue;
+                }
                 soonest.push(QueueCandidate {
                     free_at_ms,
                     order: slots_seen,
@@ -211,8 +215,12 @@
             }
         }
         self.plan.targets_examined += slots_seen as u64;
+        let is_truncated = soonest.len() == max_queues;
         let mut soonest = soonest.into_vec();
-        soonest.sort_unstable_by_key(|candidate| candidate.order);
+        soonest.sort_unstable_by_key(|candidate| {
+            let free_at_ms = if is_truncated { candidate.free_at_ms } else { 0 };
+            (candidate.target, free_at_ms, candidate.order)
+        });
         for QueueCandidate { slot, target, completion, .. } in soonest {
             let Some(head) = self.cluster_state.jobs.get(&slot.1) else { continue };
             let mut free = Resources::for_task(&head.spec);
