First stop commands come before repeated ones

A cancelled job whose many machines do not answer has its stops repeated every 1.5 s, and these used up the bound before the first stops of jobs with later ids: their tasks could run on after `cancel_s`.

Cause: due stops were taken in the order of the jobs, whether first or repeated, and a response to a report carried only stops that had been sent directly.

Change: repetitions are added only after every first stop, and an attempt is marked before the bound is checked, so that the next response to its machine stops it. While the lease is unconfirmed no further commands pile up.

--- a/crates/controller/src/cluster_state/commands.rs
+++ b/crates/controller/src/cluster_state/commands.rs
@@ -14,6 +14,7 @@
 use swiftsail_protocol::workers::{Command, CommandKind, DirectCommands, TaskPhase};
 
 /// Next step of stopping an attempt.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum StopStep {
     /// Nothing now.
     Wait,
@@ -23,7 +24,7 @@
     Release,
 }
 
-/// Commands of one message, within the largest size of a message.
+/// Commands of one message to a worker, which keeps to the protocol's largest size.
 struct CommandList {
     commands: Vec<Command>,
     /// Bytes left in the message.
@@ -53,11 +54,20 @@
     }
 }
 
+/// Which stop commands a pass over the jobs adds.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StopPass {
+    /// Those that were never sent directly, and releases.
+    First,
+    /// Those that were sent before and not answered.
+    Repeated,
+}
+
 /// The attempts whose stopping advances in one tick.
 struct StopBatch {
     /// Stop commands by machine.
     stops: BTreeMap<MachineId, CommandList>,
-    /// Tasks to release, since the start of their attempts was never offered.
+    /// Tasks to release ([`StopStep::Release`]).
     never_offered: Vec<(JobId, u32)>,
     /// Number of attempts that may still be added.
     attempts_left: usize,
@@ -68,27 +78,36 @@
         StopBatch { stops: BTreeMap::new(), never_offered: Vec::new(), attempts_left: max_attempts }
     }
 
-    /// Withdraws the starts of a job's attempts that are to be stopped, and adds those that are due.
-    fn add_job(&mut self, job: &mut Job, now: Time) {
+    /// Marks a job's attempts that are to be stopped, so that responses to reports stop them as well, and adds those that
+    /// are due in this pass.
+    fn add_job(&mut self, job: &mut Job, pass: StopPass, now: Time) {
         let stop_all = job.is_cancelled() || job.gang_state() == GangState::Stopping;
         if !stop_all && job.attempts.counts().stopping == 0 {
             return;
         }
-        let uncommitted = job.tasks_never_written();
+        let is_never_written = job.tasks_never_written();
         let stopped = StoppedJob {
             id: job.id.clone(),
             grace_s: stop_grace_s(job),
             is_cancelled: job.is_cancelled(),
         };
         job.attempts.for_each_mut(|task, attempt| {
-            if attempt.occupies_resources() && (stop_all || attempt.stop_requested) {
-                attempt.start_withdrawn = true;
-                let step = match attempt.phase() == AttemptPhase::Committing && uncommitted(task) {
-                    true => StopStep::Release,
-                    false => next_stop_step(attempt, stopped.is_cancelled, now),
-                };
-                self.add_attempt(&stopped, task, attempt, step, now);
+            if !attempt.occupies_resources() || !(stop_all || attempt.stop_requested) {
+                return;
+            }
+            attempt.start_withdrawn = true;
+            let is_repeated = attempt.stop_sent_at().is_some();
+            if is_repeated != (pass == StopPass::Repeated) {
+                return;
             }
+            let is_unwritten =
+                attempt.phase() == AttemptPhase::Committing && is_never_written(task);
+            let step = match is_unwritten {
+                true => StopStep::Release,
+                false => next_stop_step(attempt, stopped.is_cancelled, now),
+            };
+            attempt.stop_requested |= step == StopStep::Send;
+            self.add_attempt(&stopped, task, attempt, step, now);
         });
     }
 
@@ -118,7 +137,7 @@
     }
 }
 
-/// A job of which attempts are stopped.
+/// What the stop commands of one job have in common.
 struct StoppedJob {
     id: JobId,
     /// Grace period of its stop commands, s.
@@ -193,8 +212,9 @@
         }
     }
 
-    /// Advances the stopping of attempts, of at most `max_attempts`: the others follow with the next call. Returns the
-    /// commands to send directly to workers, with the workers' addresses. To be called on every tick.
+    /// Advances the stopping of attempts, of at most `max_attempts`: the others follow with later calls. A stop command
+    /// is repeated only after every other attempt's first one, so that machines that do not answer delay no others.
+    /// Returns the commands to send directly to workers, with the workers' addresses. To be called on every tick.
     pub fn stop_commands(
         &mut self,
         max_attempts: usize,
@@ -203,7 +223,13 @@
         let mut batch = StopBatch::new(max_attempts);
         for job in self.jobs.values_mut() {
             self.needs_scheduling |= update_gang(job);
-            batch.add_job(job, now);
+            batch.add_job(job, StopPass::First, now);
+        }
+        for job in self.jobs.values_mut() {
+            if batch.attempts_left == 0 {
+                break;
+            }
+            batch.add_job(job, StopPass::Repeated, now);
         }
         for (job, task) in batch.never_offered {
             self.release_lost_task(&job, task, now);
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -449,7 +449,9 @@
         self.poll_job_changes();
         self.update_answer_authority();
         self.update_binding_encoding();
-        let max_stops = self.max_stops_per_tick();
+        // While the lease is unconfirmed commands are not sent, and must not pile up.
+        let max_stops =
+            if self.pending_commands.is_empty() { self.max_stops_per_tick() } else { 0 };
         if let Some(state) = &mut self.cluster_state {
             self.pending_commands.extend(state.stop_commands(max_stops, self.now.monotonic));
         }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -485,6 +485,57 @@
     assert!(!accepts(&mut bench, 41, 9), "the stop must be repeated until the task is gone");
 }
 
+/// Stops that no worker answers are repeated only after every other stop was sent. With a bound on the stops of a tick,
+/// the repetitions for the first job left the later ones running after their cancellation.
+#[test]
+fn unanswered_stops_do_not_delay_the_stops_of_other_jobs() {
+    const MAX_STOPS: usize = 3;
+    const TICK_MS: u64 = 100;
+    let mut bench = LeaderBench::new();
+    bench.add_machines(4, "l64");
+    for (id, tasks) in [("wk-a", 100), ("wk-b", 2)] {
+        bench.submit_job(id, job_spec(JobKind::Service, tasks, 1.0, "i"));
+    }
+    bench.run_scheduling_cycle();
+    bench.commit_pending();
+    bench.send_heartbeat();
+    for id in ["wk-a", "wk-b"] {
+        bench.cluster_state.on_remote_cancellation(&id.into(), bench.now, bench.now, bench.now);
+    }
+    let ticks = 102usize.div_ceil(MAX_STOPS);
+    let mut stopped = std::collections::BTreeSet::new();
+    for _ in 0..ticks {
+        bench.now += TICK_MS;
+        let messages = bench.cluster_state.stop_commands(MAX_STOPS, bench.now);
+        let commands = messages.into_iter().flat_map(|(_, message)| message.commands);
+        stopped.extend(commands.map(|command| command.task));
+    }
+    assert_eq!(stopped.len(), 102, "each task is told to stop before any is told again");
+}
+
+/// A report is answered with the stops of all cancelled tasks on its machine, whatever the bound on direct commands.
+#[test]
+fn response_carries_the_stops_that_no_direct_command_carried_yet() {
+    let mut bench = LeaderBench::new();
+    bench.add_machines(1, "l64");
+    bench.submit_job("wk-a", job_spec(JobKind::Service, 20, 1.0, "i"));
+    bench.run_scheduling_cycle();
+    bench.commit_pending();
+    bench.send_heartbeat();
+    bench.cluster_state.on_remote_cancellation(&"wk-a".into(), bench.now, bench.now, bench.now);
+    bench.cluster_state.stop_commands(1, bench.now);
+    let (id, machine) = bench.cluster_state.machines.iter().next().expect("a machine");
+    let tasks = machine.tasks.iter().map(|((job, task), attempt)| TaskStatus {
+        task: format!("{job}/{task}"),
+        attempt: *attempt,
+        phase: TaskPhase::Running,
+        exit_cause: None,
+        progress_saved: None,
+    });
+    let (id, tasks) = (id.to_string(), tasks.collect());
+    assert_eq!(bench.send_report(&id, "l64", 50, tasks), 20);
+}
+
 /// A forwarded report that has not changed takes a few bytes, whatever runs on the machine.
 #[test]
 fn forwarded_unchanged_reports_are_small() {
