No machines for tasks beyond the bound on attempts

Cause: a task that the bound keeps waiting is not bound, but scale-out still planned machines for it, which would have stood idle. The floor of the bound, one job of the protocol's largest size and an eighth, stood in the memory budget as if the budget had counted it.

--- a/crates/controller/src/cluster_state/job_records.rs
+++ b/crates/controller/src/cluster_state/job_records.rs
@@ -25,7 +25,7 @@
         self.is_loading = false;
         self.settle_dependencies(now, wall);
         for (id, job) in &self.jobs {
-            for (task, attempt) in &job.attempts {
+            for (task, attempt) in job.attempts.iter() {
                 let machine = self
                     .machines
                     .entry(attempt.machine().clone())
--- a/crates/controller/src/cluster_state/mod.rs
+++ b/crates/controller/src/cluster_state/mod.rs
@@ -139,7 +139,7 @@
     pub tiers: Rc<TierTable>,
     /// A worker's lease, ms; 0: leases are no evidence of reachability.
     pub lease_ms: f64,
-    /// Every controller reads binding chunks with runs.
+    /// Whether every controller can read binding chunks that contain runs ([`crate::job::BindingRun`]).
     pub writes_binding_runs: bool,
 }
 
@@ -253,22 +253,22 @@
         })
     }
 
-    /// Whether a gang waits whose bindings are to be committed in its chunks.
+    /// Whether a gang of more tasks than a chunk covers waits to be placed.
     pub fn has_waiting_large_gang(&self) -> bool {
         let mut jobs = self.jobs.values();
         jobs.any(|job| is_large_gang(&job.spec) && job.has_queued_tasks() && !job.is_cancelled())
     }
 
-    /// Whether the bindings of a job are committed in its own chunks at once, and not in the binding log first: those of
-    /// a gang of many tasks would fill the log, and there they would take memory and writes by task, while a chunk
-    /// stores the tasks of a gang on a machine as one run.
+    /// Whether the bindings of a job are committed in its chunks directly, and not in the binding log first. The log
+    /// stores each binding by itself, and a large gang would fill it; a chunk stores a gang's tasks on a machine as one
+    /// run.
     pub fn commits_in_chunks(&self, spec: &JobSpec) -> bool {
         self.writes_binding_runs && is_large_gang(spec)
     }
 
     /// Binds a job's first waiting task to a machine under an attempt number: in memory now, and in the store with the
-    /// next write of the binding log, or of its chunk ([`ClusterState::commits_in_chunks`]). Its start is offered only after that. Returns the task; none if the machine or
-    /// the job is not known, or no task waits.
+    /// next write of the binding log, or of its chunk ([`ClusterState::commits_in_chunks`]). Its start is offered only
+    /// after that. Returns the task; none if the machine or the job is not known, or no task waits.
     pub fn bind(
         &mut self,
         id: &JobId,
@@ -315,7 +315,7 @@
     /// Removes a finished job and everything that refers to it.
     pub fn remove_job(&mut self, id: &JobId, now: Time) -> Option<Job> {
         let job = self.jobs.remove(id)?;
-        for (task, attempt) in &job.attempts {
+        for (task, attempt) in job.attempts.iter() {
             self.binding_log.remove(id, *task, Some(attempt.number));
             if let Some(machine) = self.machines.get_mut(attempt.machine()) {
                 machine.remove_task(id, *task, now);
--- a/crates/controller/src/constants/calls.rs
+++ b/crates/controller/src/constants/calls.rs
@@ -74,14 +74,15 @@
 /// Estimated size of a forwarded status report without its tasks, bytes.
 pub const REPORT_BYTES: usize = 250;
 
-/// Part of a status report that its tasks do not use, bytes: the names and numbers of the machine.
+/// Bytes of a status report that are reserved for everything but its tasks: the machine's name, address, type and zone,
+/// and numbers.
 pub const REPORT_ENVELOPE_BYTES: usize = 2 * 1024;
 
 /// Size of one task in a status report without its name, bytes, at most: an exited attempt with the longest cause, an
 /// attempt number of 20 digits and a saved checkpoint.
 pub const MAX_TASK_STATUS_BYTES: usize = 98;
 
-/// Part of a message to a worker that its commands do not use, bytes.
+/// Bytes of a message to a worker that are reserved for everything but its commands.
 pub const COMMANDS_ENVELOPE_BYTES: usize = 256;
 
 /// Size of one command without the task's name, bytes, at most.
@@ -93,7 +94,7 @@
 /// CPU cost of stopping one attempt by a command or by its release, us of a whole core.
 pub const STOP_COST_US: f64 = 1.0;
 
-/// Memory of a command until it is sent, bytes: typed and encoded.
+/// Memory of a command until it is sent, bytes, including its encoded form.
 pub const COMMAND_MEMORY_BYTES: usize = 320;
 
 /// Estimated size of one task in a status report, bytes.
--- a/crates/controller/src/constants/jobs.rs
+++ b/crates/controller/src/constants/jobs.rs
@@ -16,6 +16,9 @@
 /// Size of a job in a log segment without its name, bytes.
 pub const SEGMENT_JOB_OVERHEAD_BYTES: usize = 6;
 
+/// Tasks whose attempts a leader stores together. A change within them moves the others.
+pub const ATTEMPT_BLOCK_TASKS: u32 = 64;
+
 /// Tasks in one binding chunk at most, even where the store's value size allows more.
 pub const MAX_CHUNK_TASKS: u32 = 256;
 
--- a/crates/controller/src/constants/scheduling.rs
+++ b/crates/controller/src/constants/scheduling.rs
@@ -221,6 +221,14 @@
 /// Length of that pause, as a multiple of the cycle's cost.
 pub const CYCLE_PAUSE_FACTOR: f64 = 2.0;
 
+/// Divisor of the bound on attempts: the part that one array leaves to other jobs, since its tasks need not run at the
+/// same time.
+pub const ARRAY_ATTEMPTS_DIVISOR: usize = 4;
+
+/// Divisor of the tasks of the largest job: the attempts that remain for other jobs beside it, however little memory there
+/// is.
+pub const OTHER_JOBS_ATTEMPTS_DIVISOR: usize = 8;
+
 /// Tasks bound in one scheduling cycle at most; bounds CPU time. The next cycle continues.
 pub const MAX_CYCLE_BINDINGS: usize = 300;
 
--- a/crates/controller/src/controller/capacity.rs
+++ b/crates/controller/src/controller/capacity.rs
@@ -6,13 +6,15 @@
 use crate::constants::{
     COMMAND_MEMORY_BYTES, EVALUATED_TARGET_BYTES, EVALUATION_COST_US, HEARTBEAT_VALIDITY_MS,
     MAX_CYCLE_BINDINGS, MAX_CYCLE_EVALUATION_MS, MAX_CYCLE_JOBS, MAX_CYCLE_QUEUE_JOINS,
-    MAX_PROVISION_BATCH, MAX_RUN_QUEUES, MIN_CYCLE_JOBS, MIN_RUN_QUEUES, REPORT_COST_US,
-    STATUS_LOG_INTERVAL_MS, STOP_COST_US, STOP_CPU_SHARE, TICK_INTERVAL_MS,
+    MAX_PROVISION_BATCH, MAX_RUN_QUEUES, MIN_CYCLE_JOBS, MIN_RUN_QUEUES,
+    OTHER_JOBS_ATTEMPTS_DIVISOR, REPORT_COST_US, STATUS_LOG_INTERVAL_MS, STOP_COST_US,
+    STOP_CPU_SHARE, TICK_INTERVAL_MS,
 };
 use crate::cycle_policy::CycleBounds;
 use crate::machine::MachineState;
 use swiftsail_overload_control::constants::MAX_MACHINE_LOAD;
 use swiftsail_overload_control::fleet_limit::{FleetLimit, max_machines};
+use swiftsail_protocol::constants::MAX_TASKS;
 
 /// Maximum number of evaluations of a target for one job in a cycle: a second one follows if the first did not pass
 /// the pruning threshold.
@@ -41,7 +43,7 @@
         let jobs = self.load_level.scaled_work(MAX_CYCLE_JOBS).min(by_memory).min(by_processor);
         CycleBounds {
             max_bindings: self.load_level.scaled_work(MAX_CYCLE_BINDINGS),
-            max_attempts: self.budget.attempts,
+            max_attempts: self.max_attempts(),
             max_queue_joins: self.load_level.scaled_work(MAX_CYCLE_QUEUE_JOINS),
             max_jobs_per_level: jobs.max(MIN_CYCLE_JOBS),
             max_queues: queues,
@@ -49,6 +51,14 @@
         }
     }
 
+    /// Attempts of all jobs together at most: as many as the cluster state's share of the memory holds, but enough for one
+    /// job of the protocol's largest size and [`OTHER_JOBS_ATTEMPTS_DIVISOR`] of that for others, since a gang or a
+    /// service runs as a whole or not at all.
+    pub(super) fn max_attempts(&self) -> usize {
+        let largest_job = MAX_TASKS as usize;
+        self.budget.attempts.max(largest_job + largest_job / OTHER_JOBS_ATTEMPTS_DIVISOR)
+    }
+
     /// Number of attempts at most whose stopping advances in one tick, within the processor and memory of the settings.
     pub(super) fn max_stops_per_tick(&self) -> usize {
         let available_us = self.cpu.available_us(TICK_INTERVAL_MS) * STOP_CPU_SHARE;
--- a/crates/controller/src/controller/status.rs
+++ b/crates/controller/src/controller/status.rs
@@ -95,7 +95,7 @@
             cancelled_held = self.cancellations.pending().count(),
             machines_most = self.max_machines().0,
             attempts = state.jobs.values().map(|job| job.attempts.len()).sum::<usize>(),
-            attempts_most = self.budget.attempts,
+            attempts_most = self.max_attempts(),
             kinds = machine_types.join(", "),
             at_limit = teams_at_limit.join(", "),
             "status"
--- a/crates/controller/src/job/attempts.rs
+++ b/crates/controller/src/job/attempts.rs
@@ -1,15 +1,13 @@
 //! The attempts of a job by task. A job may have 100,000 tasks, so the attempts are stored densely, and their numbers by
-//! phase and by machine are kept up to date: no question about a job as a whole visits each of its attempts.
+//! phase and by machine are updated with each change, so that reading them does not visit every attempt.
 
 use super::{Attempt, AttemptPhase, MachineId};
+use crate::constants::ATTEMPT_BLOCK_TASKS;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::{Deref, DerefMut, Index, Range};
 use swiftsail_protocol::workers::ExitCause;
 
-/// Tasks that one block covers at most.
-const BLOCK_TASKS: u32 = 64;
-
 /// Numbers of a job's attempts.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AttemptCounts {
@@ -62,13 +60,13 @@
 /// The attempts of a job, at most one for each task, in the order of the tasks.
 #[derive(Default)]
 pub struct Attempts {
-    /// Attempts by `task / BLOCK_TASKS`; in each block in ascending order of the tasks. No block is empty.
+    /// Attempts by `task / ATTEMPT_BLOCK_TASKS`; in each block in ascending order of the tasks. No block is empty.
     blocks: BTreeMap<u32, Vec<(u32, Attempt)>>,
     len: usize,
     totals: Totals,
 }
 
-/// What is known of all attempts of a job together.
+/// Totals over all attempts of a job.
 #[derive(Debug, Default)]
 struct Totals {
     counts: AttemptCounts,
@@ -111,7 +109,7 @@
     }
 }
 
-/// Mutable access to an attempt. When it ends, the job's totals are updated.
+/// Mutable access to an attempt. When it is dropped, the job's totals are updated.
 pub struct AttemptMut<'a> {
     attempt: &'a mut Attempt,
     totals: &'a mut Totals,
@@ -129,7 +127,7 @@
 impl Drop for AttemptMut<'_> {
     fn drop(&mut self) {
         self.totals.counts.add(self.attempt);
-        // An attempt that has ended stays so.
+        // An exited attempt never occupies resources again.
         if self.occupied_resources && !self.attempt.occupies_resources() {
             self.totals.subtract_from_machine(self.attempt.machine());
         }
@@ -268,15 +266,6 @@
     }
 }
 
-impl<'a> IntoIterator for &'a Attempts {
-    type Item = (&'a u32, &'a Attempt);
-    type IntoIter = Box<dyn Iterator<Item = Self::Item> + 'a>;
-
-    fn into_iter(self) -> Self::IntoIter {
-        Box::new(self.iter())
-    }
-}
-
 impl Index<&u32> for Attempts {
     type Output = Attempt;
 
@@ -288,7 +277,7 @@
 
 /// The block of a task.
 fn block_of(task: u32) -> u32 {
-    task / BLOCK_TASKS
+    task / ATTEMPT_BLOCK_TASKS
 }
 
 /// Position of a task in its block; `Err`: the position at which it belongs.
--- a/crates/controller/src/placement/gangs.rs
+++ b/crates/controller/src/placement/gangs.rs
@@ -175,52 +175,14 @@
     }
 
     /// Places all tasks of a gang or none. If they do not fit, a mapping round plans the missing machines.
-    #[expect(clippy::too_many_lines, reason = "not split yet")]
     pub fn place_gang(&mut self, c: &mut PlacementCandidate) {
-        let Some(job) = self.cluster_state.jobs.get(&c.id) else { return };
-        // All unfinished tasks are placed together. The tasks of a gang finish together, but one that was lost before its
-        // exit was seen must run again to report it.
-        if !job.attempts.is_empty()
-            || c.remaining_tasks as usize + job.done.len() < c.spec.tasks as usize
-        {
-            return;
-        }
         let missing = c.remaining_tasks;
-        let has_own_records = self.cluster_state.commits_in_chunks(&c.spec);
-        let log_room = self.cluster_state.binding_log.remaining_capacity();
-        if !has_own_records && log_room.saturating_sub(self.bound_tasks) < missing as usize {
-            return;
-        }
-        if self.attempt_room() < missing as usize {
-            return;
-        }
-        let each = Resources::for_task(&c.spec);
-        if !self.is_within_limit(c, missing) {
+        if !self.may_place_gang(c) || !self.is_within_limit(c, missing) {
             return;
         }
         c.start_search(false);
-        let zones: Vec<Option<usize>> = if c.spec.one_zone {
-            // Zones without machines count as well, or a gang would wait forever in an empty cluster.
-            for zone in self.types.iter().flat_map(|t| &t.zones) {
-                self.zone_index(zone);
-            }
-            (0..self.zones.len()).map(Some).collect()
-        } else {
-            vec![None]
-        };
-        // Targets reserved for the gang come first, then those that have its image. If only some of its machines must
-        // fetch the image, the tasks on the others wait for them and may exit with the cause `alone`.
-        let mut ranked_targets: Vec<(u32, usize)> = (0..self.targets.len())
-            .filter(|i| {
-                matches!(
-                    self.targets[*i].target_kind,
-                    TargetKind::ReadyMachine | TargetKind::BootingMachine
-                )
-            })
-            .filter(|i| self.is_suitable(c, &self.targets[*i]))
-            .map(|i| (self.fetch_cost(c, i), i))
-            .collect();
-        ranked_targets.sort_unstable();
+        let zones = self.gang_zones(c);
+        let ranked_targets = self.rank_gang_targets(c);
         let mut best: Option<GangAssignment> = None;
         let mut planned: Option<GangAssignment> = None;
         for zone in &zones {
@@ -235,35 +197,90 @@
                 planned = Some(with_booting);
             }
         }
-        if let Some(GangAssignment { tasks_by_target, .. }) = best {
-            let mut machines = Vec::new();
-            for (i, take) in tasks_by_target {
-                let Some(machine) = self.targets[i].machine.clone() else { return };
-                self.targets[i].reserved_for_gangs.retain(|g| g.0 != c.id);
-                machines.push((machine, take));
-                self.targets[i].free.subtract(&each.multiplied_by(take));
-                self.add_planned_usage(c, take);
-            }
-            if !has_own_records {
-                self.bound_tasks += missing as usize;
-            }
-            self.planned_attempts += missing as usize;
-            self.plan.steps.push(PlanStep::BindGang(c.id.clone(), machines));
-            c.remaining_tasks = 0;
-            return;
+        if let Some(assignment) = best {
+            return self.plan_gang_binding(c, assignment);
         }
         if self.is_full && c.is_aged {
             self.reserve_capacity(c, missing, &zones);
         }
-        let Some(GangAssignment { mut unplaced_tasks, tasks_by_target, .. }) =
-            planned.filter(|_| self.is_full)
-        else {
-            if self.is_full && c.is_limited_by_quota {
-                self.unplaced_jobs.push(c.id.clone());
-            }
-            return;
+        let unplaced_tasks = match planned.filter(|_| self.is_full) {
+            Some(assignment) => self.plan_gang_machines(c, assignment),
+            None => missing,
         };
-        // What it will use is withheld from later candidates of this round.
+        if self.is_full && unplaced_tasks > 0 && c.is_limited_by_quota {
+            self.unplaced_jobs.push(c.id.clone());
+        }
+    }
+
+    /// Whether all unfinished tasks of a gang wait, and there is room to bind them. The tasks of a gang finish together,
+    /// but one that was lost before its exit was seen must run again to report it.
+    fn may_place_gang(&self, c: &PlacementCandidate) -> bool {
+        let Some(job) = self.cluster_state.jobs.get(&c.id) else { return false };
+        let missing = c.remaining_tasks as usize;
+        let all_wait = job.attempts.is_empty() && missing + job.done.len() >= c.spec.tasks as usize;
+        let log_room = self.cluster_state.binding_log.remaining_capacity();
+        let has_log_room = self.cluster_state.commits_in_chunks(&c.spec)
+            || log_room.saturating_sub(self.bound_tasks) >= missing;
+        all_wait && has_log_room && self.attempt_room(c) >= missing
+    }
+
+    /// The zones to try for a gang, each by itself; `None`: its tasks may be in different zones.
+    fn gang_zones(&mut self, c: &PlacementCandidate) -> Vec<Option<usize>> {
+        if !c.spec.one_zone {
+            return vec![None];
+        }
+        // Zones without machines count as well, or a gang would wait forever in an empty cluster.
+        for zone in self.types.iter().flat_map(|t| &t.zones) {
+            self.zone_index(zone);
+        }
+        (0..self.zones.len()).map(Some).collect()
+    }
+
+    /// The machines that suit a gang, as fetch cost and target index. Targets reserved for the gang come first, then
+    /// those that have its image: if only some of its machines must fetch the image, the tasks on the others wait for
+    /// them and may exit with the cause `alone`.
+    fn rank_gang_targets(&self, c: &PlacementCandidate) -> Vec<(u32, usize)> {
+        let is_machine = |kind: &TargetKind| {
+            matches!(kind, TargetKind::ReadyMachine | TargetKind::BootingMachine)
+        };
+        let mut ranked: Vec<(u32, usize)> = (0..self.targets.len())
+            .filter(|i| is_machine(&self.targets[*i].target_kind))
+            .filter(|i| self.is_suitable(c, &self.targets[*i]))
+            .map(|i| (self.fetch_cost(c, i), i))
+            .collect();
+        ranked.sort_unstable();
+        ranked
+    }
+
+    /// Plans to bind all tasks of a gang to ready machines.
+    fn plan_gang_binding(&mut self, c: &mut PlacementCandidate, assignment: GangAssignment) {
+        let each = Resources::for_task(&c.spec);
+        let mut machines = Vec::new();
+        for (i, take) in assignment.tasks_by_target {
+            let Some(machine) = self.targets[i].machine.clone() else { return };
+            self.targets[i].reserved_for_gangs.retain(|g| g.0 != c.id);
+            machines.push((machine, take));
+            self.targets[i].free.subtract(&each.multiplied_by(take));
+            self.add_planned_usage(c, take);
+        }
+        let bound = c.remaining_tasks as usize;
+        if !self.cluster_state.commits_in_chunks(&c.spec) {
+            self.bound_tasks += bound;
+        }
+        self.planned_attempts += bound;
+        self.plan.steps.push(PlanStep::BindGang(c.id.clone(), machines));
+        c.remaining_tasks = 0;
+    }
+
+    /// Withholds what a gang will use from later candidates of this round, and plans the machines that it lacks. Returns
+    /// the number of tasks for which the cloud offers no machine.
+    fn plan_gang_machines(
+        &mut self,
+        c: &mut PlacementCandidate,
+        assignment: GangAssignment,
+    ) -> u32 {
+        let each = Resources::for_task(&c.spec);
+        let GangAssignment { mut unplaced_tasks, tasks_by_target, .. } = assignment;
         let zone = tasks_by_target.first().map(|(i, _)| self.targets[*i].zone_index);
         for (i, take) in tasks_by_target {
             self.targets[i].free.subtract(&each.multiplied_by(take));
@@ -281,8 +298,6 @@
             c.add_tasks_in_zone(zone, take);
             unplaced_tasks -= take;
         }
-        if unplaced_tasks > 0 && c.is_limited_by_quota {
-            self.unplaced_jobs.push(c.id.clone());
-        }
+        unplaced_tasks
     }
 }
--- a/crates/controller/src/placement/mapping.rs
+++ b/crates/controller/src/placement/mapping.rs
@@ -263,6 +263,9 @@
             return;
         }
         for c in candidates.iter_mut().filter(|c| !c.is_deferred) {
+            // Machines for tasks beyond the bound on attempts would stand idle.
+            let bindable = u32::try_from(self.attempt_room(c)).unwrap_or(u32::MAX);
+            c.remaining_tasks = c.remaining_tasks.min(bindable);
             self.plan_scale_out(c, only_passing);
         }
     }
--- a/crates/controller/src/placement/mapping_round.rs
+++ b/crates/controller/src/placement/mapping_round.rs
@@ -9,15 +9,14 @@
 use super::team_usage::TeamUsage;
 use super::victims::PreemptionCandidate;
 use crate::cluster_state::{ClusterState, quota_per_task};
-use crate::constants::{MAX_LOGGED_BINDINGS, MAX_LOGGED_BINDINGS_LOW_PRIORITY};
+use crate::constants::{
+    ARRAY_ATTEMPTS_DIVISOR, MAX_LOGGED_BINDINGS, MAX_LOGGED_BINDINGS_LOW_PRIORITY,
+};
 use crate::job::{GangState, Job, JobId, JobKind, JobSpec, JobState, MachineId, Priority};
 use crate::machine::MachineType;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-/// Divisor of the attempts that the memory allows: the part that one array leaves to other jobs.
-const ARRAY_DIVISOR: usize = 4;
-
 /// State of a scheduling cycle. A full cycle is a mapping round; others run between mapping rounds.
 pub(super) struct MappingRound<'a> {
     pub cluster_state: &'a ClusterState,
@@ -47,7 +46,7 @@
     pub unplaced_jobs: Vec<JobId>,
     /// The jobs considered now may not start yet: nothing is bound, only provisioning is planned.
     pub planning_ahead: bool,
-    /// Tasks whose bindings are planned and go to the binding log.
+    /// Planned bindings that go to the binding log.
     pub bound_tasks: usize,
     /// Attempts of all jobs when the cycle began.
     pub held_attempts: usize,
@@ -114,30 +113,25 @@
         }
     }
 
-    /// Number of attempts that may still be planned within the memory of the settings.
-    pub fn attempt_room(&self) -> usize {
-        let held = self.held_attempts + self.planned_attempts;
-        self.context.policy.bounds.max_attempts.saturating_sub(held)
-    }
-
-    /// Whether another task of a candidate may be bound within the memory of the settings. An array leaves some of it to
-    /// other jobs, since its tasks need not run at the same time.
-    fn has_attempt_room(&self, c: &PlacementCandidate) -> bool {
-        let job = self.cluster_state.jobs.get(&c.id);
-        let held = job.map_or(0, |job| job.attempts.len());
+    /// Number of a candidate's tasks that may be bound within the bound on attempts.
+    pub fn attempt_room(&self, c: &PlacementCandidate) -> usize {
         let max_attempts = self.context.policy.bounds.max_attempts;
-        let is_array_at_limit =
-            c.spec.kind == JobKind::Array && held >= max_attempts - max_attempts / ARRAY_DIVISOR;
-        self.attempt_room() > 0 && !is_array_at_limit
+        let room = max_attempts.saturating_sub(self.held_attempts + self.planned_attempts);
+        if c.spec.kind != JobKind::Array {
+            return room;
+        }
+        let held = self.cluster_state.jobs.get(&c.id).map_or(0, |job| job.attempts.len());
+        let max_held = max_attempts - max_attempts / ARRAY_ATTEMPTS_DIVISOR;
+        room.min(max_held.saturating_sub(held))
     }
 
-    /// Plans to bind a task. Returns false if the binding log is full, or the memory for attempts.
+    /// Plans to bind a task. Returns false if the binding log is full, or the bound on attempts is reached.
     pub fn plan_binding(&mut self, c: &PlacementCandidate, machine: MachineId) -> bool {
         if self.planning_ahead {
             self.add_planned_usage(c, 1);
             return true;
         }
-        if !self.has_attempt_room(c) {
+        if self.attempt_room(c) == 0 {
             return false;
         }
         let max_bindings = if c.spec.priority == Priority::Low {
--- a/crates/controller/src/placement/quota_limits.rs
+++ b/crates/controller/src/placement/quota_limits.rs
@@ -257,7 +257,7 @@
     let mut stoppable = Vec::new();
     let arrays = state.jobs.values().filter(|j| j.spec.kind == JobKind::Array);
     for job in arrays.filter(|j| j.spec.team == *name && !j.is_cancelled()) {
-        for (task, attempt) in &job.attempts {
+        for (task, attempt) in job.attempts.iter() {
             let Some(machine) = state.machines.get(attempt.machine()) else { continue };
             let is_recent = |at: Time| now.saturating_sub(at) as f64 <= silent_after_ms;
             if machine.last_contact_at.is_some_and(is_recent)
--- a/crates/controller/src/placement/target_collection.rs
+++ b/crates/controller/src/placement/target_collection.rs
@@ -180,9 +180,9 @@
         }
     }
 
-    /// Collects the run queues of the ready machines among the targets, those that are free soonest. Every candidate
-    /// evaluates every target, so of very many run queues the soonest ones are enough, and only those are built: there
-    /// may be as many slots as tasks run.
+    /// Adds the run queues of the ready machines as targets, at most `max_queues`, those that become free soonest. Every
+    /// candidate evaluates every target, so the soonest queues are enough. There may be one slot for each running task,
+    /// so a target is built only for the queues that are kept.
     fn collect_queue_targets(&mut self) {
         let max_queues = self.context.policy.bounds.max_queues;
         let mut soonest: BinaryHeap<QueueCandidate> = BinaryHeap::new();
--- a/crates/controller/src/placement/victims.rs
+++ b/crates/controller/src/placement/victims.rs
@@ -16,7 +16,7 @@
     pub tasks: Vec<PreemptionVictim>,
 }
 
-/// What the tasks of a job have in common that could be preempted.
+/// Properties shared by the preemptible tasks of a job.
 pub(super) struct VictimJob {
     pub id: JobId,
     /// Resources of one task.
@@ -27,7 +27,7 @@
     pub gang_amounts: Option<ResourceQuantities>,
 }
 
-/// A task that could be preempted. There may be as many as tasks run.
+/// A task that could be preempted. There may be one for each running task, so it is kept small.
 pub(super) struct PreemptionVictim {
     /// Work that would be lost, ms of run time.
     pub lost_work_ms: u64,
--- a/crates/overload-control/src/constants.rs
+++ b/crates/overload-control/src/constants.rs
@@ -47,9 +47,6 @@
 pub const MACHINE_BYTES: usize = 5 * KB;
 /// Memory of an attempt of a task in the cluster state, bytes, including its entry at its machine.
 pub const ATTEMPT_BYTES: usize = 88;
-/// Number of attempts that is always allowed: a job of 100,000 tasks, the most that the protocol allows, and an eighth of
-/// that for other jobs.
-pub const MIN_ATTEMPTS: usize = 112_500;
 /// Share of the sockets that a listener may use. The rest is for outgoing calls and the other listener.
 pub const LISTENER_SOCKETS_SHARE: f64 = 0.75;
 /// Minimum capacity of each part of the budget. A controller does not work with less.
--- a/crates/overload-control/src/memory_budget.rs
+++ b/crates/overload-control/src/memory_budget.rs
@@ -5,8 +5,8 @@
     ATTEMPT_BYTES, BASE_MEMORY_MB, BODIES_SHARE, CACHED_JOB_BYTES, CACHES_SHARE,
     CLUSTER_STATE_SHARE, CONNECTION_KB, CONNECTIONS_SHARE, FINAL_RECORD_BYTES,
     FORWARDED_REPORTS_SHARE, JOB_CACHE_SHARE, KB, LISTENER_SOCKETS_SHARE, MACHINE_BYTES, MB,
-    MIN_ATTEMPTS, MIN_CAPACITY, POLL_BYTES, POLLS_SHARE, REPORT_BYTES, REQUEST_BYTES,
-    SCHEDULING_CYCLE_SHARE, STORE_CALL_BYTES, STORE_CALLS_SHARE,
+    MIN_CAPACITY, POLL_BYTES, POLLS_SHARE, REPORT_BYTES, REQUEST_BYTES, SCHEDULING_CYCLE_SHARE,
+    STORE_CALL_BYTES, STORE_CALLS_SHARE,
 };
 
 /// Maximum amounts that the parts of a controller may hold.
@@ -28,8 +28,8 @@
     pub cached_final_records: usize,
     /// Machines in a leader's cluster state, including their tasks.
     pub machines: usize,
-    /// Attempts of tasks in a leader's cluster state. They use the same share of the memory as the machines, which seldom
-    /// are as many. At least as many as one job of the largest size needs beside others.
+    /// Attempts of tasks in a leader's cluster state. Attempts and machines use the same share of the memory: each number
+    /// is what the share holds without the other, so [`MemoryBudget::total_bytes`] counts the share once.
     pub attempts: usize,
     /// Working memory of a scheduling cycle, bytes.
     pub scheduling_cycle_bytes: usize,
@@ -53,7 +53,7 @@
             cached_jobs: capacity(JOB_CACHE_SHARE, CACHED_JOB_BYTES),
             cached_final_records: capacity(CACHES_SHARE, FINAL_RECORD_BYTES),
             machines: capacity(CLUSTER_STATE_SHARE, MACHINE_BYTES),
-            attempts: capacity(CLUSTER_STATE_SHARE, ATTEMPT_BYTES).max(MIN_ATTEMPTS),
+            attempts: capacity(CLUSTER_STATE_SHARE, ATTEMPT_BYTES),
             scheduling_cycle_bytes: capacity(SCHEDULING_CYCLE_SHARE, 1),
         }
     }
--- a/crates/simulation/src/simulation/priority_inversions.rs
+++ b/crates/simulation/src/simulation/priority_inversions.rs
@@ -82,7 +82,7 @@
         let key = |j: &Job| (std::cmp::Reverse(priority_attribute(j.spec.priority)), j.tier);
         let mut found = Vec::new();
         for job in state.jobs.values() {
-            for (task, a) in &job.attempts {
+            for (task, a) in job.attempts.iter() {
                 let bound_in_cycle =
                     a.phase() == AttemptPhase::Committing && a.bound_at() == state.last_cycle_at;
                 let Some(machine) = state.machines.get(a.machine()).filter(|_| bound_in_cycle)
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -536,6 +536,31 @@
     assert_eq!(bench.send_report(&id, "l64", 50, tasks), 20);
 }
 
+/// Work that the bound on attempts keeps waiting gets no machines: they would stand idle.
+#[test]
+fn nothing_is_provisioned_for_tasks_beyond_the_bound_on_attempts() {
+    const MAX_ATTEMPTS: usize = 100;
+    let mut bench = LeaderBench::new();
+    bench.add_machines(2, "l64");
+    bench.submit_job("wk-a", job_spec(JobKind::Array, 3_000, 0.5, "i"));
+    let mut policy = CyclePolicy::default();
+    policy.bounds.max_attempts = MAX_ATTEMPTS;
+    bench.now += ROUND_INTERVAL_MS;
+    let context = PlanningContext {
+        now: bench.now,
+        wall_now: 0,
+        settings: &bench.settings,
+        machine_types: &bench.machine_types,
+        policy: &policy,
+    };
+    let first = controller::run_scheduling_cycle(&mut bench.cluster_state, context, true);
+    assert!(first.bound > 0 && first.bound <= MAX_ATTEMPTS, "{} bound", first.bound);
+    let second = controller::run_scheduling_cycle(&mut bench.cluster_state, context, true);
+    assert_eq!(second.bound, 0);
+    let requests = second.provisioning_requests.expect("it was a mapping round");
+    assert!(requests.is_empty(), "{requests:?}");
+}
+
 /// A forwarded report that has not changed takes a few bytes, whatever runs on the machine.
 #[test]
 fn forwarded_unchanged_reports_are_small() {
--- a/tests/state_machines.rs
+++ b/tests/state_machines.rs
@@ -276,7 +276,7 @@
             for binding in &segment {
                 restored.restore_log_binding(binding, 0);
             }
-            for (task, attempt) in &job.attempts {
+            for (task, attempt) in job.attempts.iter() {
                 let known = restored.attempts.get(task).map(|a| a.number);
                 prop_assert_eq!(known, Some(attempt.number), "task {}", task);
             }
