Comments of the new code for somebody who has read nothing else

Cause: reading the change again. Change: the comments, an `UpgradeStage` with one function for its changes, and the mark is taken back. The memory tests take the memory of the settings; the recorded format is pinned to its latest version as strictly as before.

--- a/crates/controller/src/controller/chunks.rs
+++ b/crates/controller/src/controller/chunks.rs
@@ -215,6 +215,8 @@
             if !overflowing.is_empty() {
                 // The log only estimates the size of a segment, hence the margin.
                 let max_segment_bytes = max_bytes - max_bytes / 32;
+                // From now on some of the job's bindings are in the log, whose transactions this job does not know.
+                job.commits_in_chunks = false;
                 for binding in &overflowing {
                     self.binding_log.return_to_log(id, binding, max_segment_bytes);
                 }
--- a/crates/controller/src/controller/format_upgrade.rs
+++ b/crates/controller/src/controller/format_upgrade.rs
@@ -23,20 +23,44 @@
     version: u32,
 }
 
+/// State of this controller's write of the format record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum UpgradeStage {
+    /// None is in flight.
+    #[default]
+    Idle,
+    /// The record is being raised to this version.
+    Raising(u32),
+}
+
 /// Which record formats may be written, as far as this controller knows.
 #[derive(Debug, Default)]
 pub(super) struct FormatUpgrade {
+    /// Changed only by [`FormatUpgrade::advance`].
+    stage: UpgradeStage,
     /// Format version that every controller reads, according to the format record; 0: there is no record.
     recorded_version: u32,
     /// Mod revision of the format record; 0: there is none.
     mod_revision: u64,
-    /// The version that is being written to the format record.
-    raising_to: Option<u32>,
     /// Format versions that the latest heartbeats of the other controllers announced, by host name.
     peer_versions: BTreeMap<String, u32>,
 }
 
 impl FormatUpgrade {
+    /// Changes the stage; the only function that does. Returns false if the change is not allowed: the record is not
+    /// written twice at once, and not to a version that is recorded already.
+    fn advance(&mut self, to: UpgradeStage) -> bool {
+        let allowed = match (self.stage, to) {
+            (UpgradeStage::Idle, UpgradeStage::Raising(version)) => version > self.recorded_version,
+            (UpgradeStage::Raising(_), UpgradeStage::Idle) => true,
+            _ => false,
+        };
+        if allowed {
+            self.stage = to;
+        }
+        allowed
+    }
+
     /// Handles a read of the format record, with its mod revision. `None`: the key does not exist.
     pub fn on_format_record(&mut self, entry: Option<(&Value, u64)>) {
         let Some((value, mod_revision)) = entry else { return };
@@ -70,22 +94,18 @@
         self.recorded_version >= BINDING_RUNS_FORMAT
     }
 
-    /// Begins to raise the recorded version to that which this controller and these others all read. Returns that
-    /// version, or `None` if it is not higher or is being written.
+    /// Begins to raise the recorded version to the highest that this controller and all these others read. Returns that
+    /// version, or `None` if it is recorded already or a write is in flight.
     fn begin_raising<'a>(&mut self, others: impl Iterator<Item = &'a str>) -> Option<u32> {
         let peer_version = |peer: &str| self.peer_versions.get(peer).copied().unwrap_or(0);
         let version = others.map(peer_version).fold(FORMAT_VERSION, u32::min);
-        if version <= self.recorded_version || self.raising_to.is_some() {
-            return None;
-        }
-        self.raising_to = Some(version);
-        Some(version)
+        self.advance(UpgradeStage::Raising(version)).then_some(version)
     }
 }
 
 impl Controller {
-    /// Writes the format record if every other controller has announced a newer format than is recorded. Called for
-    /// what needs it.
+    /// Writes the format record if every other controller has announced a newer format than is recorded. Called when a
+    /// request or a job needs a newer format.
     pub(super) fn request_format_upgrade(&mut self) {
         let others = self.settings.others.iter().map(|other| other.host_name.as_str());
         let Some(version) = self.format_upgrade.begin_raising(others) else { return };
@@ -111,15 +131,16 @@
     /// Handles the outcome of the write of the format record. If another controller has written the record, it is read
     /// with the other keys under `term/` within a second.
     pub(super) fn on_format_raised(&mut self, outcome: &StoreOutcome) {
-        let Some(version) = self.format_upgrade.raising_to.take() else { return };
+        let UpgradeStage::Raising(version) = self.format_upgrade.stage else { return };
+        self.format_upgrade.advance(UpgradeStage::Idle);
         if let StoreOutcome::Committed(revision) = outcome {
             self.format_upgrade.on_recorded(version, *revision);
             tracing::info!(form = version, "format upgraded: every controller reads it");
         }
     }
 
-    /// Lets a leader write binding runs as soon as every controller reads them, and requests the format upgrade if a
-    /// gang waits for that.
+    /// Lets a leader write binding runs as soon as every controller reads them. Until then, requests the format upgrade
+    /// while a gang waits that needs runs.
     pub(super) fn update_binding_encoding(&mut self) {
         let is_supported = self.format_upgrade.supports_binding_runs();
         let Some(state) = &mut self.cluster_state else { return };
--- a/crates/controller/src/job/attempt.rs
+++ b/crates/controller/src/job/attempt.rs
@@ -28,7 +28,7 @@
     Exited(ExitCause),
 }
 
-/// What the attempts have in common that were bound to a machine at the same moment.
+/// Properties shared by the attempts that were bound to a machine at the same moment.
 #[derive(Debug, PartialEq, Eq)]
 struct AttemptOrigin {
     machine: MachineId,
@@ -37,8 +37,8 @@
     from_previous_term: bool,
 }
 
-/// One attempt of a task on a machine. A leader may hold 100,000 and more, so they share what they have in common, and
-/// the fields are small.
+/// One attempt of a task on a machine. A leader may hold 100,000 of them, so it is kept small, and what several attempts have
+/// in common is shared.
 #[derive(Debug, Clone)]
 pub struct Attempt {
     /// Its number, never used twice for a task.
@@ -52,7 +52,7 @@
     pub is_reported: bool,
     /// Its start must not be offered (again).
     pub start_withdrawn: bool,
-    /// It is to be stopped.
+    /// Whether it is to be stopped.
     pub stop_requested: bool,
     /// When the stop command was last sent directly to the worker; none: not yet.
     stop_sent_at: Option<NonMaxU64>,
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Shares the origin of another attempt if that is the same.
+    /// Uses the other attempt's origin, and frees its own, if both are equal.
     pub fn share_origin(&mut self, other: &Attempt) {
         if self.origin == other.origin {
             self.origin = other.origin.clone();
@@ -159,7 +159,7 @@
         self.offered_in = NonMaxU64::new(sequence);
     }
 
-    /// Records that the start that was last offered is proved not to be executed.
+    /// Records that the worker has provably not executed the start that it was last sent.
     pub fn retract_offer(&mut self) {
         self.offered_in = None;
     }
--- a/crates/controller/src/job/chunks.rs
+++ b/crates/controller/src/job/chunks.rs
@@ -71,7 +71,7 @@
     done: Vec<(u32, u32)>,
     /// Bindings that are not in the binding log and fit into the record one by one.
     fitting: Vec<Binding>,
-    /// Further ones that fit into the record as runs.
+    /// Bindings that are not in the binding log and fit into the record as runs of consecutive tasks.
     runs: Vec<BindingRun>,
     /// Bindings that are not in the binding log and do not fit.
     overflowing: Vec<Binding>,
@@ -115,7 +115,7 @@
         first..(first + self.chunk_tasks).min(self.spec.tasks)
     }
 
-    /// Marks a task's chunk as to be written without delay: only the chunk will hold the task's new binding.
+    /// Marks a task's chunk as to be written without delay, since no binding log segment holds the task's new binding.
     pub fn mark_chunk_due(&mut self, task: u32, now: Time) {
         let since = now.saturating_sub(COMPACTION_DELAY_MS);
         self.dirty_chunks.entry(self.chunk_of(task)).or_insert(since);
@@ -126,13 +126,13 @@
         self.dirty_chunks.entry(self.chunk_of(task)).or_insert(now);
     }
 
-    /// Whether its chunks commit new bindings: its gang can start only after that.
+    /// Whether chunk writes commit bindings of it for the first time. Its gang can start only after that.
     pub fn commits_new_bindings(&self) -> bool {
         self.commits_in_chunks && self.attempts.counts().committing > 0
     }
 
-    /// Tells of a task whose binding is being committed whether it was never written and is in no transaction in flight:
-    /// only the bindings of a job that commits them in its chunks are known to be.
+    /// Returns a predicate of tasks whose binding is not committed: whether no transaction with the binding was ever sent.
+    /// False for every task of a job whose bindings are in the binding log.
     pub fn tasks_never_written(&self) -> impl Fn(u32) -> bool + use<> {
         let in_flight = self.in_flight.as_ref();
         let in_flight: Vec<u32> =
--- a/crates/controller/src/job/mod.rs
+++ b/crates/controller/src/job/mod.rs
@@ -98,7 +98,7 @@
     pub chunk_revisions: BTreeMap<u32, u64>,
     /// Chunks whose stored record is outdated, and since when.
     pub dirty_chunks: BTreeMap<u32, Time>,
-    /// The bindings of its attempts are committed in its chunks, not in the binding log.
+    /// Whether all its bindings are committed in its chunks directly, and none in the binding log.
     pub commits_in_chunks: bool,
     /// By chunk read from the store: the latest attempt that it accounts for. Later ones are in the binding log.
     pub chunk_covers: BTreeMap<u32, u64>,
--- a/crates/controller/src/job/record.rs
+++ b/crates/controller/src/job/record.rs
@@ -254,8 +254,8 @@
     }
 }
 
-/// Bindings of consecutive tasks to one machine under one attempt number, stored as an array: of a gang, all tasks on a
-/// machine. Versions that do not read them would treat the tasks as waiting, so that runs are only written once every
+/// Bindings of consecutive tasks to one machine under one attempt number, such as those of a gang's tasks on a machine.
+/// Stored as an array. A version that cannot read them would start the tasks again, so they are written only once every
 /// controller reads them (`controller::format_upgrade`).
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u64, String, u64)", into = "(u32, u32, u64, String, u64)")]
--- a/crates/controller/src/job/retry.rs
+++ b/crates/controller/src/job/retry.rs
@@ -18,7 +18,7 @@
         if self.spec.kind == JobKind::Gang && attempt.had_image() {
             self.vacated_machines.insert(attempt.machine().clone(), now);
         }
-        // A chunk that was never written holds no binding of a task, unless the log did.
+        // If the binding log never held a binding of the job, a chunk that was never written needs no update.
         if !self.commits_in_chunks || self.is_chunk_stored(self.chunk_of(task)) {
             self.mark_chunk_dirty(task, now);
         }
--- a/crates/controller/src/machine/resources.rs
+++ b/crates/controller/src/machine/resources.rs
@@ -39,7 +39,7 @@
         Resources { cpus, gpus, memory_gb, report_bytes }
     }
 
-    /// The space in a machine's status report alone, of a task whose other resources are free.
+    /// The report space alone of one task of a job: that of an exited task, which uses nothing else.
     pub fn report_space_of(spec: &JobSpec) -> Resources {
         Resources { report_bytes: Resources::for_task(spec).report_bytes, ..Resources::default() }
     }
--- a/tests/job_attempts.rs
+++ b/tests/job_attempts.rs
@@ -104,8 +104,8 @@
         .unwrap();
 }
 
-/// A new leader restores from chunks with runs what it restores from chunks with single bindings, and a chunk with runs
-/// is not larger.
+/// A chunk that stores bindings as runs restores the same attempts as one that stores them singly, and is at most a few
+/// bytes larger.
 #[test]
 fn runs_of_bindings_restore_the_same_attempts() {
     const TASKS: u32 = 100;
--- a/tests/leader_memory.rs
+++ b/tests/leader_memory.rs
@@ -29,16 +29,13 @@
 const TASKS_PER_MACHINE: u32 = TASKS / MACHINES;
 const JOB: &str = "wk-000001";
 const MB: f64 = 1024.0 * 1024.0;
-/// Memory of the smallest controllers in use, MB.
-const MEMORY_MB: f64 = 40.0;
-
 fn begin() -> MutexGuard<'static, ()> {
     RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Memory that a share of a controller's memory allows, MB.
+/// A share of the memory that the settings of a simulated controller allow, MB.
 fn share_mb(share: f64) -> f64 {
-    (MEMORY_MB - BASE_MEMORY_MB) * share
+    (controller_settings(0).settings.machine_limits.mem_mb - BASE_MEMORY_MB) * share
 }
 
 fn used_mb() -> f64 {
--- a/tests/recorded_bytes/store.rs
+++ b/tests/recorded_bytes/store.rs
@@ -204,6 +204,8 @@
     for key in ["amount/0/of/all", "amount/0/of/seen-n0", "plug/evening/1/000", "sheet/000"] {
         assert!(values_by_key.contains_key(key), "no value of {key} was stored");
     }
+    // What is recorded may have an earlier version; what is written now has the latest.
+    assert_eq!(values_by_key["term/form"], [json!({"form": 2})]);
     let unknown: Vec<&String> = values_by_key.keys().filter(|key| kind_of(key).is_none()).collect();
     assert!(unknown.is_empty(), "keys of unknown kinds: {unknown:?}");
     let path = format!("{}/store.txt", env!("CARGO_TARGET_TMPDIR"));
