A job whose record exceeds the lowered limits can be cancelled

Cause: cancelling wrote the whole record again with the mark. Nothing else rewrites a record, so its size was bounded only by the limits at its acceptance. The refusal (400) was answered like an unknown outcome. A record that filled a value to within 10 bytes could not be cancelled even without any change of limits.

Change: a cancellation writes as much of the record as fits into the lower of the limits in force and announced. Left out first are the lists (`awaits`, machine types), then the texts but for the team: they only decide where and when tasks start. A shortened record is that of a cancelled job without `awaits`, which the version in production reads. If even a record within the known limits is refused, the smallest one is written. The largest value in bytes was computed in five places and is `StoreSettings::max_value_bytes` now. Simulations can announce size limits.

--- a/crates/controller/src/constants/mod.rs
+++ b/crates/controller/src/constants/mod.rs
@@ -85,3 +85,6 @@
 
 /// Milliseconds in a second.
 pub const MS_PER_S: f64 = 1000.0;
+
+/// Bytes in a KiB, the unit of the settings.
+pub const BYTES_PER_KIB: f64 = 1024.0;
--- a/crates/controller/src/controller/binding_log.rs
+++ b/crates/controller/src/controller/binding_log.rs
@@ -80,7 +80,7 @@
         }
         self.write_number += 1;
         let state = &ctx.settings.settings.state;
-        let max_value_bytes = (state.value_kb * 1024.0) as usize;
+        let max_value_bytes = state.max_value_bytes();
         let max_segments = state
             .txn_ops
             .min(MAX_TRANSACTION_BYTES / max_value_bytes.clamp(1, MAX_SEGMENT_BYTES))
--- a/crates/controller/src/controller/chunks.rs
+++ b/crates/controller/src/controller/chunks.rs
@@ -192,7 +192,7 @@
         in_flight: &mut InFlightTransaction,
     ) {
         let state = &ctx.settings.settings.state;
-        let max_bytes = (state.value_kb * 1024.0) as usize;
+        let max_bytes = state.max_value_bytes();
         let write = ChunkWrite {
             write_number: in_flight.write_number,
             last_attempt: self.last_attempt_number(),
--- a/crates/controller/src/controller/plan_application.rs
+++ b/crates/controller/src/controller/plan_application.rs
@@ -225,7 +225,7 @@
     machine: &MachineId,
     attempt: Option<u64>,
 ) -> Option<u32> {
-    let value_bytes = (context.settings.settings.state.value_kb * 1024.0) as usize;
+    let value_bytes = context.settings.settings.state.max_value_bytes();
     let attempt = attempt.unwrap_or_else(|| state.next_attempt_number());
     let usable_bytes = value_bytes - value_bytes / VALUE_MARGIN_DIVISOR;
     state.bind(id, machine, attempt, usable_bytes, context.now)
--- a/crates/controller/src/controller/replicated_records.rs
+++ b/crates/controller/src/controller/replicated_records.rs
@@ -76,7 +76,7 @@
 }
 
 fn store_limits(state: &StoreSettings) -> StoreLimits {
-    let value_bytes = (state.value_kb * 1024.0) as usize;
+    let value_bytes = state.max_value_bytes();
     StoreLimits {
         writes_per_second: state.write_rps,
         max_transaction_writes: state.txn_ops,
--- a/crates/controller/src/controller/requests/cancellations.rs
+++ b/crates/controller/src/controller/requests/cancellations.rs
@@ -3,15 +3,16 @@
 //! (`leadership::cancellation_quorum`).
 
 use super::replies::{TaskCounts, status_reply, unconfirmed_write_reply};
-use super::{CancelRequest, PendingRequest, RequestIntent};
+use super::{CancelAttempt, CancelRequest, PendingRequest, RequestIntent};
 use crate::Time;
 use crate::constants::{
     EXPEDITED_HEARTBEAT_INTERVAL_MS, MAX_CANCEL_CONFLICTS, USER_STORE_TIMEOUT_MS,
 };
+use crate::controller::chunks::put_mutation;
 use crate::controller::{Action, CallContext, Controller, Reply, RequestId};
-use crate::job::{JobId, JobRecord, keys};
+use crate::job::{CancelledForm, JobId, JobRecord, keys};
 use crate::store::{CallPriority, StoreCall, StoreOutcome};
-use swiftsail_protocol::state::{Mutation, Precondition, Transaction};
+use swiftsail_protocol::state::{Precondition, Transaction};
 use swiftsail_protocol::users::JobStatus;
 
 /// A reply that confirms a cancellation and waits until enough controllers hold the cancellation.
@@ -39,7 +40,8 @@
 }
 
 impl Controller {
-    /// Marks a live job as cancelled on the precondition that its record is still at `mod_revision`.
+    /// Marks a live job as cancelled on the precondition that its record is still at `mod_revision`. The record may be
+    /// larger than the state service takes now, so only what fits of it is written.
     pub(super) fn cancel_job(
         &mut self,
         id: &JobId,
@@ -52,16 +54,15 @@
             waiting.extend(requests);
             return;
         }
+        let form = match requests.iter().any(|request| request.attempt.was_too_large) {
+            true => CancelledForm::Smallest,
+            false => CancelledForm::AtMost(self.settings.settings.state.max_value_bytes()),
+        };
         self.requests.cancels.insert(id.clone(), requests);
-        let cancelled =
-            JobRecord { cancelled: true, cancelled_wall: self.now.wall_clock, ..record };
+        let cancelled = record.into_cancelled(self.now.wall_clock, form);
         let transaction = Transaction {
             preconditions: vec![Precondition { key: keys::job(id), mod_revision }],
-            mutations: vec![Mutation::Put {
-                key: keys::job(id),
-                value: serde_json::to_value(&cancelled).unwrap_or_default(),
-                lease: None,
-            }],
+            mutations: vec![put_mutation(keys::job(id), &cancelled)],
         };
         let context = CallContext::CancelJob(id.clone(), cancelled.cancelled_wall);
         let policy = self.user_retry_policy();
@@ -72,27 +73,38 @@
     /// cancellation, ms.
     pub(super) fn on_cancel_written(&mut self, id: &JobId, wall: u64, outcome: &StoreOutcome) {
         let waiting = self.requests.cancels.remove(id).unwrap_or_default();
-        for CancelRequest { request, conflicts } in waiting {
-            let may_retry = conflicts < MAX_CANCEL_CONFLICTS;
+        for CancelRequest { request, attempt } in waiting {
+            let may_retry = attempt.conflicts < MAX_CANCEL_CONFLICTS;
             match outcome {
                 StoreOutcome::Committed(revision) => {
                     let reply = PendingCancelReply::new(id, *revision, request, None);
                     self.answer_when_cancellation_replicated(reply, wall);
                 }
                 StoreOutcome::Conflict(_) if may_retry => {
-                    let intent = RequestIntent::Cancel { conflicts: conflicts + 1 };
-                    self.read_job(id, PendingRequest { request, intent });
+                    let conflicts = attempt.conflicts + 1;
+                    self.retry_cancel(id, request, CancelAttempt { conflicts, ..attempt });
                 }
                 // The write may or may not have committed. A read shows which, and there is time for one more attempt.
                 StoreOutcome::Unknown if may_retry => {
-                    let intent = RequestIntent::Cancel { conflicts: MAX_CANCEL_CONFLICTS };
-                    self.read_job(id, PendingRequest { request, intent });
+                    let conflicts = MAX_CANCEL_CONFLICTS;
+                    self.retry_cancel(id, request, CancelAttempt { conflicts, ..attempt });
+                }
+                // The limits are lower than the settings say.
+                StoreOutcome::Malformed(_) if !attempt.was_too_large => {
+                    let attempt = CancelAttempt { was_too_large: true, ..attempt };
+                    self.retry_cancel(id, request, attempt);
                 }
                 _ => self.answer(request, unconfirmed_write_reply()),
             }
         }
     }
 
+    /// Reads the job again, and cancels it unless it has ended or been cancelled meanwhile.
+    fn retry_cancel(&mut self, id: &JobId, request: RequestId, attempt: CancelAttempt) {
+        let intent = RequestIntent::Cancel(attempt);
+        self.read_job(id, PendingRequest { request, intent });
+    }
+
     /// Holds back a confirmation until enough controllers hold the cancellation. All replies with the status
     /// "cancelled" must pass through here, except those about finished jobs, which have no task left on any machine,
     /// and about jobs cancelled by dependency, of which no task has ever started.
--- a/crates/controller/src/controller/requests/mod.rs
+++ b/crates/controller/src/controller/requests/mod.rs
@@ -40,10 +40,7 @@
     /// Return the job's status if the job is known, else accept it.
     Create(Box<JobRecord>),
     /// Cancel the job.
-    Cancel {
-        /// Number of cancellation writes so far that conflicted with another write.
-        conflicts: u32,
-    },
+    Cancel(CancelAttempt),
 }
 
 /// A user request that waits for a store read.
@@ -68,12 +65,20 @@
     }
 }
 
+/// What earlier writes of a cancellation have shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct CancelAttempt {
+    /// Number of writes so far that conflicted with another write.
+    conflicts: u32,
+    /// The state service refused a record within the known limits, so that the smallest one is to be written.
+    was_too_large: bool,
+}
+
 /// A cancellation request whose write is in flight.
 #[derive(Debug)]
 struct CancelRequest {
     request: RequestId,
-    /// Number of writes so far that conflicted with another write.
-    conflicts: u32,
+    attempt: CancelAttempt,
 }
 
 /// User requests that wait for the state service or for other controllers.
@@ -105,7 +110,7 @@
                 self.on_job_request(id, &job, RequestIntent::Poll { is_retry: true })
             }
             UserRequest::Cancel(job) => {
-                self.on_job_request(id, &job, RequestIntent::Cancel { conflicts: 0 })
+                self.on_job_request(id, &job, RequestIntent::Cancel(CancelAttempt::default()))
             }
         }
     }
--- a/crates/controller/src/controller/requests/reads.rs
+++ b/crates/controller/src/controller/requests/reads.rs
@@ -138,8 +138,8 @@
         let mut cancels = Vec::new();
         for pending in self.finish_read(id) {
             match pending.intent {
-                RequestIntent::Cancel { conflicts } if !record.cancelled => {
-                    cancels.push(CancelRequest { request: pending.request, conflicts });
+                RequestIntent::Cancel(attempt) if !record.cancelled => {
+                    cancels.push(CancelRequest { request: pending.request, attempt });
                 }
                 _ if record.cancelled => {
                     let reply =
--- a/crates/controller/src/job/mod.rs
+++ b/crates/controller/src/job/mod.rs
@@ -18,8 +18,8 @@
 pub use failure_attribution::FailureAttribution;
 pub use gang::GangState;
 pub use record::{
-    Binding, BindingChunk, BindingRun, FinalRecord, FinalState, JobRecord, StoredJob, chunk_key,
-    chunk_size, keys,
+    Binding, BindingChunk, BindingRun, CancelledForm, FinalRecord, FinalState, JobRecord,
+    StoredJob, chunk_key, chunk_size, keys,
 };
 pub use swiftsail_protocol::users::{JobKind, JobSpec, Priority};
 pub use task_set::TaskSet;
--- a/crates/controller/src/job/record.rs
+++ b/crates/controller/src/job/record.rs
@@ -61,8 +61,8 @@
 /// Number of tasks that a chunk covers: so many that the ranges of tasks done fit into a stored value in the worst
 /// case. Bindings that do not fit beside them stay in the binding log.
 pub fn chunk_size(state: &StoreSettings) -> u32 {
-    let max_bytes = (state.value_kb * 1024.0) as usize;
-    let max_ranges = max_bytes.saturating_sub(CHUNK_OVERHEAD_BYTES) / MAX_TASK_RANGE_BYTES;
+    let max_ranges =
+        state.max_value_bytes().saturating_sub(CHUNK_OVERHEAD_BYTES) / MAX_TASK_RANGE_BYTES;
     // In the worst case every second task is done: each range then covers one task, followed by a gap of one.
     (max_ranges as u32).saturating_mul(2).clamp(1, MAX_CHUNK_TASKS)
 }
@@ -92,6 +92,56 @@
     pub spec: JobSpec,
 }
 
+/// How much of a job's record is kept when its cancellation is recorded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CancelledForm {
+    /// As much as a stored value of this many bytes has room for.
+    AtMost(usize),
+    /// Only what the job's end needs.
+    Smallest,
+}
+
+impl JobRecord {
+    /// The record of the job once it is cancelled at `cancelled_wall` (wall clock, ms).
+    ///
+    /// A record may have been accepted under wider limits of the state service than those in force. Since no task of a
+    /// cancelled job starts any more, it can do without everything that only decides where and when its tasks start.
+    /// What remains is that of a job without dependencies, which every version reads. It still has the tasks, their
+    /// resources, the team and the checkpoint times, by which running tasks are stopped and counted until they are gone.
+    pub fn into_cancelled(self, cancelled_wall: u64, form: CancelledForm) -> JobRecord {
+        let fits = |record: &JobRecord| match form {
+            CancelledForm::AtMost(max_bytes) => record.encoded_bytes() <= max_bytes,
+            CancelledForm::Smallest => false,
+        };
+        let whole = JobRecord { cancelled: true, cancelled_wall, ..self };
+        if fits(&whole) {
+            return whole;
+        }
+        let without_lists = whole.without_lists();
+        if fits(&without_lists) {
+            return without_lists;
+        }
+        without_lists.without_texts()
+    }
+
+    /// Its size as JSON, bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |json| json.len())
+    }
+
+    /// Without dependencies and allowed machine types, the lists of a record.
+    fn without_lists(self) -> JobRecord {
+        let spec = JobSpec { machine_types: None, ..self.spec };
+        JobRecord { depends_on: Vec::new(), spec, ..self }
+    }
+
+    /// Without the texts that users choose. The team stays, since its quota is used until the tasks are gone.
+    fn without_texts(self) -> JobRecord {
+        let spec = JobSpec { class: String::new(), image: String::new(), zone: None, ..self.spec };
+        JobRecord { tier: None, spec, ..self }
+    }
+}
+
 /// Stored encoding of a [`JobRecord`]. The specification of a job with dependencies is stored in another field (`p`)
 /// than that of one without (`j`): earlier versions, which would start the job at once, cannot read it and ignore the
 /// record.
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file in TOML: reading and validation. Unknown fields are ignored.
 
+use crate::constants::{BYTES_PER_KIB, MAX_TRANSACTION_BYTES};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -142,6 +143,12 @@
 }
 
 impl StoreSettings {
+    /// The largest value that may be written, bytes: within the limits in force, the announced ones and the size of a
+    /// transaction.
+    pub fn max_value_bytes(&self) -> usize {
+        ((self.value_kb * BYTES_PER_KIB) as usize).min(MAX_TRANSACTION_BYTES)
+    }
+
     /// Lowers each limit to the upcoming one if that is smaller. When the limits change is not announced, and records
     /// that are written now will have to be rewritten under the new limits. Upcoming limits that are not positive are
     /// ignored as invalid.
--- a/crates/simulation/src/simulation/event_handlers.rs
+++ b/crates/simulation/src/simulation/event_handlers.rs
@@ -51,6 +51,10 @@
                     settings.settings.state.rps = rps;
                     settings.settings.state.write_rps = write_rps;
                 }
+                if let Some((value_kb, txn_ops)) = self.announced_store_sizes {
+                    settings.settings.state.value_kb = value_kb;
+                    settings.settings.state.txn_ops = txn_ops;
+                }
                 self.processors[n] = SimulatedCpu::default();
                 let settings = Arc::new(settings);
                 let controller = Controller::with_operator_settings(
--- a/crates/simulation/src/simulation/mod.rs
+++ b/crates/simulation/src/simulation/mod.rs
@@ -248,6 +248,9 @@
     pub store_limited: bool,
     /// Requests and mutations per second in the settings of each controller that starts; `None`: the default settings.
     announced_store_rates: Option<(f64, f64)>,
+    /// Largest value (KiB) and number of mutations in a transaction in the settings of each controller that starts;
+    /// `None`: the default settings.
+    announced_store_sizes: Option<(f64, usize)>,
     /// Number of users' requests answered with 503, by kind of request (0 submission, 1 poll, 2 cancellation), reason,
     /// and whether another controller could have served them.
     pub unavailable_answers: BTreeMap<(u8, String, bool), u64>,
@@ -348,6 +351,7 @@
             last_leader: None,
             store_limited: false,
             announced_store_rates: None,
+            announced_store_sizes: None,
             unavailable_answers: BTreeMap::new(),
             starts_after_cancellation: Vec::new(),
             latest_attempts: HashMap::new(),
@@ -426,6 +430,7 @@
             accepted: false,
             last_status: None,
             cancellation_told_at: None,
+            refused_with: None,
             open_requests: [None; 3],
             final_status_at: 0,
             last_answered_at: at,
@@ -444,6 +449,12 @@
         self.store.limit_rates(rps, write_rps, self.now);
     }
 
+    /// Announces size limits of the state service to controllers that start from now on: the largest value, in KiB, and
+    /// the number of mutations in a transaction. [`FakeStore::limit_sizes`] puts limits in force.
+    pub fn announce_store_sizes(&mut self, value_kb: f64, txn_ops: usize) {
+        self.announced_store_sizes = Some((value_kb, txn_ops));
+    }
+
     /// Schedules an outage of the state service for all its clients.
     pub fn schedule_store_outage(&mut self, at_ms: u64, for_ms: u64) {
         self.store_outages.push((START_MS + at_ms, START_MS + at_ms + for_ms));
--- a/crates/simulation/src/simulation/users.rs
+++ b/crates/simulation/src/simulation/users.rs
@@ -24,6 +24,8 @@
     pub last_status: Option<String>,
     /// When its user was first told that it is cancelled.
     pub cancellation_told_at: Option<u64>,
+    /// The status with which its submission was refused for good.
+    pub refused_with: Option<u16>,
     /// For each kind of request (submission, poll, cancellation), when the one without an answer yet was sent. A user
     /// has at most one request of each kind open.
     pub(super) open_requests: [Option<u64>; 3],
@@ -217,6 +219,7 @@
             400 | 404 | 422 if j.accepted => {
                 self.violations.push(format!("forgotten: {} got {}", j.id, reply.status));
             }
+            404 | 400 | 422 if kind == 0 => j.refused_with = Some(reply.status),
             404 | 400 | 422 => {}
             _ => {
                 let at = now + self.rng.random_range(1_000..3_000);
