Refusals that no repetition can change are told apart

Cause: a call that the state service refuses for its size (400) and one that it refuses for now (429, 503) looked alike to users and could only be told apart by a log line without the call's purpose or size.

Change: `state service refused a call permanently` names the call, its size, largest value, writes and conditions; both kinds are counted, in the leader's `status` line and at `GET /admin/metrics` of every controller.

Evidence: permanent_refusals_are_counted_apart_from_temporary_ones: an outage counts as temporary only, a record refused for its size as one permanent refusal.

--- a/crates/controller/src/controller/admin.rs
+++ b/crates/controller/src/controller/admin.rs
@@ -7,7 +7,8 @@
 use super::{Action, CallContext, Controller, Reply, RequestId};
 use crate::constants::{MS_PER_S, USER_STORE_TIMEOUT_MS};
 use crate::job::{JobRecord, StoredJob, keys};
-use crate::store::{CallPriority, RetryPolicy, StoreCall, StoreOutcome};
+use crate::store::{CallPriority, RefusalCounts, RetryPolicy, StoreCall, StoreOutcome};
+use serde::Serialize;
 use serde_json::json;
 use swiftsail_policy::plugin::{PluginOffer, PluginTransition};
 
@@ -40,6 +41,15 @@
     Pipeline(String),
     /// List the open GPU loans: all, or those in which the job of this id lends or borrows.
     Loans(Option<String>),
+    /// Show the counters of this controller.
+    Metrics,
+}
+
+/// Counters of a controller since the start of its process.
+#[derive(Debug, Serialize)]
+struct Metrics<'a> {
+    node: &'a str,
+    store_refusals: RefusalCounts,
 }
 
 impl Reply {
@@ -69,6 +79,12 @@
                 let reply = self.leader_reply(|controller| controller.describe_tiers());
                 self.answer(request, reply);
             }
+            AdminRequest::Metrics => {
+                let metrics =
+                    Metrics { node: &self.settings.host_name, store_refusals: self.store.refusals };
+                let reply = Reply::json(http_status::OK, &metrics);
+                self.answer(request, reply);
+            }
             AdminRequest::Loans(job) => {
                 let reply =
                     self.leader_reply(|controller| controller.describe_loans(job.as_deref()));
--- a/crates/controller/src/controller/requests/cancellations.rs
+++ b/crates/controller/src/controller/requests/cancellations.rs
@@ -2,7 +2,7 @@
 //! once a quorum of controllers holds it, so that a leader that cannot reach the state service learns of it from them
 //! (`leadership::cancellation_quorum`).
 
-use super::replies::{TaskCounts, status_reply, unconfirmed_write_reply};
+use super::replies::{TaskCounts, refused_write_reply, status_reply, unconfirmed_write_reply};
 use super::{CancelAttempt, CancelRequest, PendingRequest, RequestIntent};
 use crate::Time;
 use crate::constants::{
@@ -94,6 +94,7 @@
                     let attempt = CancelAttempt { was_too_large: true, ..attempt };
                     self.retry_cancel(id, request, attempt);
                 }
+                StoreOutcome::Malformed(_) => self.answer(request, refused_write_reply()),
                 _ => self.answer(request, unconfirmed_write_reply()),
             }
         }
--- a/crates/controller/src/controller/requests/replies.rs
+++ b/crates/controller/src/controller/requests/replies.rs
@@ -55,6 +55,11 @@
     Reply::retry_later("the state service did not confirm")
 }
 
+/// For a write that the state service refuses however often it is repeated.
+pub(super) fn refused_write_reply() -> Reply {
+    Reply::retry_later("the state service refuses the write; the operators' log says why")
+}
+
 pub(super) fn record_in_flight_reply() -> Reply {
     Reply::retry_later("the job's record is being written")
 }
--- a/crates/controller/src/controller/status.rs
+++ b/crates/controller/src/controller/status.rs
@@ -88,6 +88,8 @@
             free_cpus,
             queued = ?self.store.queue_lengths(),
             cloud_queued = self.cloud.queued_calls(),
+            store_refused_permanently = self.store.refusals.permanent,
+            store_refused_temporarily = self.store.refusals.temporary,
             level = ?self.load_level.level(),
             load = format!("{:.2}", self.cpu.load().unwrap_or(0.0)),
             upkeep = format!("{:.2}", self.cpu.baseline_load().unwrap_or(0.0)),
--- a/crates/controller/src/controller/store_calls.rs
+++ b/crates/controller/src/controller/store_calls.rs
@@ -130,10 +130,27 @@
 pub(super) const DEPOSED: &str = "the store knows of another term";
 
 impl Controller {
+    /// Logs a call that the state service refused and will always refuse, which is a defect or an unannounced limit.
+    fn log_permanent_refusal(&self, call: &FinishedCall<CallContext>) {
+        let StoreOutcome::Malformed(cause) = &call.outcome else { return };
+        let size = call.refused_size;
+        tracing::error!(
+            call = ?call.context,
+            %cause,
+            bytes = size.map(|size| size.bytes),
+            largest_value_bytes = size.map(|size| size.largest_value_bytes),
+            writes = size.map(|size| size.mutations),
+            conditions = size.map(|size| size.preconditions),
+            refused_permanently = self.store.refusals.permanent,
+            "state service refused a call permanently"
+        );
+    }
+
     /// Routes the outcome of a call to the code that made it. Outcomes of calls made in an earlier leadership
     /// generation are dropped.
     #[expect(clippy::too_many_lines, reason = "a flat match")]
     pub(super) fn on_store_response(&mut self, call: FinishedCall<CallContext>) {
+        self.log_permanent_refusal(&call);
         let generation = call.context.generation();
         if generation.is_some_and(|generation| generation != self.leadership.generation) {
             return;
--- a/crates/controller/src/store/mod.rs
+++ b/crates/controller/src/store/mod.rs
@@ -2,6 +2,10 @@
 //! runtime sends the calls that [`StoreClient::take_due_calls`] returns, and passes each outcome to
 //! [`StoreClient::finish`].
 
+mod refusals;
+
+pub use refusals::{RefusalCounts, TransactionSize};
+
 use crate::Time;
 use crate::constants::{
     MAX_STORE_CALLS_IN_FLIGHT, MS_PER_S, STORE_INITIAL_BACKOFF_MS, STORE_MAX_BACKOFF_MS,
@@ -89,7 +93,8 @@
     RateLimited,
     /// Not executed: the service is unavailable, or refuses this node.
     Unavailable,
-    /// Not executed: the request is malformed, which is a defect of this client.
+    /// Not executed: the request is malformed, or exceeds a limit of the service. The same request is always refused
+    /// again.
     Malformed(String),
     /// No response: the call may have been executed, or may yet be.
     Unknown,
@@ -156,6 +161,8 @@
     pub outcome: StoreOutcome,
     /// An earlier attempt had no response: a conflict may be with that attempt itself.
     pub uncertain: bool,
+    /// Size of the transaction, if the service refused it as malformed.
+    pub refused_size: Option<TransactionSize>,
 }
 
 /// Token bucket: tokens are added at a rate, up to a capacity.
@@ -231,6 +238,8 @@
     pub last_failure_at: Option<Time>,
     /// When the latest sent of the answered calls was sent.
     last_answered_sent_at: Option<Time>,
+    /// Calls that the service refused.
+    pub refusals: RefusalCounts,
 }
 
 impl<P> StoreClient<P> {
@@ -252,6 +261,7 @@
             last_success_at: None,
             last_failure_at: None,
             last_answered_sent_at: None,
+            refusals: RefusalCounts::default(),
         }
     }
 
@@ -385,6 +395,7 @@
         let mut pending = self.in_flight.remove(&id)?;
         let is_watch = matches!(pending.call, StoreCall::Watch { .. });
         self.watches_in_flight -= usize::from(is_watch);
+        self.refusals.record(&outcome);
         if outcome.is_answered() {
             self.last_success_at = Some(now);
             self.last_answered_sent_at = self.last_answered_sent_at.max(Some(pending.sent_at));
@@ -427,5 +438,12 @@
 }
 
 fn finished<P>(pending: PendingCall<P>, outcome: StoreOutcome) -> FinishedCall<P> {
-    FinishedCall { context: pending.context, outcome, uncertain: pending.uncertain }
+    let refused_size = match (&outcome, &pending.call) {
+        (StoreOutcome::Malformed(_), StoreCall::Commit(transaction)) => {
+            Some(TransactionSize::of(transaction))
+        }
+        _ => None,
+    };
+    let PendingCall { context, uncertain, .. } = pending;
+    FinishedCall { context, outcome, uncertain, refused_size }
 }
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -27,6 +27,8 @@
     pub const DISPATCH: &str = "/admin/dispatch";
     /// GET: the loans of accelerators, or with `?of=` those of one job.
     pub const LOANS: &str = "/admin/loans";
+    /// GET: the counters of this controller.
+    pub const METRICS: &str = "/admin/metrics";
     /// GET: all plug-ins.
     pub const PLUGINS: &str = "/admin/plugins";
     /// One plug-in. PUT: adds it or a new version of it; DELETE: removes it.
@@ -104,6 +106,10 @@
     forward_to_controller(&controller, AdminRequest::Loans(query.into_inner().selected)).await
 }
 
+async fn show_metrics(controller: ControllerAddress) -> HttpResponse {
+    forward_to_controller(&controller, AdminRequest::Metrics).await
+}
+
 async fn list_plugins(controller: ControllerAddress) -> HttpResponse {
     forward_to_controller(&controller, AdminRequest::Plugins).await
 }
@@ -158,6 +164,7 @@
             .route(path::DISPATCH, web::get().to(list_arrivals))
             .route(path::DISPATCH, web::put().to(set_dispatch_plan))
             .route(path::DISPATCH, web::post().to(add_arrival))
+            .route(path::METRICS, web::get().to(show_metrics))
             .route(path::PLUGINS, web::get().to(list_plugins))
             .route(path::PLUGIN, web::put().to(offer_plugin))
             .route(path::PLUGIN, web::delete().to(remove_plugin))
--- a/src/runtime/store_client.rs
+++ b/src/runtime/store_client.rs
@@ -84,11 +84,7 @@
         {
             StoreOutcome::NoSuchLease
         }
-        (400, _) => {
-            let cause = String::from_utf8_lossy(body).into_owned();
-            tracing::error!(%cause, "state service rejected a request as malformed");
-            StoreOutcome::Malformed(cause)
-        }
+        (400, _) => StoreOutcome::Malformed(String::from_utf8_lossy(body).into_owned()),
         _ => StoreOutcome::Unknown,
     }
 }
--- a/tests/lowered_store_limits.rs
+++ b/tests/lowered_store_limits.rs
@@ -8,6 +8,7 @@
 use common::property_tests::test_runner;
 use proptest::prelude::*;
 use serde_json::{Value, json};
+use swiftsail_controller::controller::AdminRequest;
 use swiftsail_controller::job::{CancelledForm, JobKind, JobRecord, StoredJob};
 use swiftsail_protocol::users::JobSpec;
 use swiftsail_simulation::simulation::{FaultRates, START_MS, Simulation, job_body, job_spec};
@@ -231,6 +232,37 @@
     }
 }
 
+/// Calls that the state service will always refuse are counted apart from those that may succeed later.
+#[test]
+fn permanent_refusals_are_counted_apart_from_temporary_ones() {
+    let refusals = |sim: &Simulation, request: u64| {
+        let reply = &sim.admin_answers[&request];
+        let metrics: Value = serde_json::from_slice(&reply.body).expect("it is JSON");
+        let count = |kind: &str| metrics["store_refusals"][kind].as_u64().expect("a count");
+        (count("permanent"), count("temporary"))
+    };
+    let mut sim = cluster_with_large_jobs(LargePart::MachineTypes(240), 1);
+    let before: Vec<u64> =
+        (0..3).map(|n| sim.schedule_admin_request(30_000, n, AdminRequest::Metrics)).collect();
+    let after_outage: Vec<u64> =
+        (0..3).map(|n| sim.schedule_admin_request(45_000, n, AdminRequest::Metrics)).collect();
+    let after_cancellation: Vec<u64> =
+        (0..3).map(|n| sim.schedule_admin_request(60_000, n, AdminRequest::Metrics)).collect();
+    sim.schedule_store_outage(32_000, 5_000);
+    sim.run_until(47_000);
+    sim.store.limit_sizes(VALUE_KB, TXN_OPS);
+    sim.run_until(62_000);
+    let total = |requests: &[u64]| {
+        let counts = requests.iter().map(|request| refusals(&sim, *request));
+        counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1))
+    };
+    assert_eq!(total(&before), (0, 0));
+    let (permanent, temporary) = total(&after_outage);
+    assert!(permanent == 0 && temporary > 0, "{permanent}, {temporary}");
+    // The whole record of the cancelled job was refused once, and nothing else.
+    assert_eq!(total(&after_cancellation), (1, temporary));
+}
+
 // ---- records -----------------------------------------------------------------------------------
 
 fn job_record(spec: JobSpec, depends_on: &[String]) -> JobRecord {
