A chunk records scattered completions as far as they fit into a lowered limit

A chunk accepted with 256 tasks under wide limits needs up to 1.9 KB for the ranges of its completed tasks. Under a limit of 1 KiB each write was refused for good: no completion of the chunk was recorded, and workers had to report all exited tasks.

Cause: bindings were cut to the room in a value, completed tasks were not.

Change: all that is recorded stays, adjacent completions join it, and further ranges are added while they fit, the longest first. The others keep their attempts; they are recorded when tasks between them have ended, or with the job's end. A chunk whose recorded ranges alone are too large is left as it is until then.

Evidence: scattered_completions_are_recorded_as_far_as_they_fit failed before (Malformed: the value of bind/wk-1/00000 is too large) and holds now, with a leader loaded after every write that knows all tasks still on machines.

--- a/crates/controller/src/constants/jobs.rs
+++ b/crates/controller/src/constants/jobs.rs
@@ -10,6 +10,9 @@
 /// Size of a range of completed tasks, bytes, at most: two numbers of 6 digits, brackets and commas.
 pub const MAX_TASK_RANGE_BYTES: usize = 16;
 
+/// JSON size of a range of completed tasks without its numbers, bytes: brackets and commas.
+pub const TASK_RANGE_OVERHEAD_BYTES: usize = 4;
+
 /// Size of a log segment without its bindings, bytes.
 pub const SEGMENT_OVERHEAD_BYTES: usize = 64;
 
--- a/crates/controller/src/controller/chunks.rs
+++ b/crates/controller/src/controller/chunks.rs
@@ -210,6 +210,11 @@
         let mut bytes = TRANSACTION_BASE_BYTES;
         let max_chunks = state.txn_ops.min(MAX_COMPACTIONS_PER_TRANSACTION);
         for chunk in writable_chunks(id, job, &self.binding_log).into_iter().take(max_chunks) {
+            if !job.has_room_for_done(chunk, max_bytes) {
+                // It is dirty again when another of its tasks ends.
+                job.dirty_chunks.remove(&chunk);
+                continue;
+            }
             let is_logged = |task: u32| self.binding_log.holds(id, task);
             let overflowing = job.overflowing_bindings(chunk, write, is_logged);
             if !overflowing.is_empty() {
@@ -240,7 +245,9 @@
             in_flight.bindings.extend(
                 bindings.map(|bound| TaskAttempt { task: bound.task, attempt: bound.attempt }),
             );
-            in_flight.done.extend(job.completed_in_chunk(chunk));
+            in_flight
+                .done
+                .extend(job.completed_in_chunk(chunk).filter(|task| record.records_done(*task)));
             job.dirty_chunks.remove(&chunk);
         }
     }
--- a/crates/controller/src/job/chunks.rs
+++ b/crates/controller/src/job/chunks.rs
@@ -1,10 +1,11 @@
 //! Contents of a job's chunk records, and how a new leader restores a job from them and from the binding log. A chunk
 //! covers a fixed range of the job's tasks; `controller/chunks.rs` writes and reads the records.
 
-use super::record::{binding_runs, task_ranges};
+use super::record::{binding_runs, task_range_bytes, task_ranges};
 use super::{Attempt, Binding, BindingChunk, BindingRun, FinalRecord, Job, TaskSet};
 use crate::Time;
 use crate::constants::{CHUNK_OVERHEAD_BYTES, COMPACTION_DELAY_MS, MAX_TASK_RANGE_BYTES};
+use std::cmp::Reverse;
 use std::ops::Range;
 
 /// An attempt of one of the job's tasks.
@@ -67,7 +68,7 @@
 
 /// Contents of a chunk's record within a bounded size.
 struct ChunkContents {
-    /// Tasks done, as inclusive ranges.
+    /// Tasks to be recorded as done, as inclusive ranges.
     done: Vec<(u32, u32)>,
     /// Bindings that are not in the binding log and fit into the record one by one.
     fitting: Vec<Binding>,
@@ -81,15 +82,22 @@
 
 impl ChunkContents {
     fn add_binding(&mut self, binding: Binding) {
-        let size = binding.bytes();
-        if size <= self.bytes_left {
-            self.bytes_left -= size;
-            self.fitting.push(binding);
-        } else {
+        if let Err(binding) = self.try_add_binding(binding) {
             self.overflowing.push(binding);
         }
     }
 
+    /// Adds a binding that fits, and returns one that does not.
+    fn try_add_binding(&mut self, binding: Binding) -> Result<(), Binding> {
+        let size = binding.bytes();
+        if size > self.bytes_left {
+            return Err(binding);
+        }
+        self.bytes_left -= size;
+        self.fitting.push(binding);
+        Ok(())
+    }
+
     fn add_run(&mut self, run: BindingRun) {
         let size = run.bytes();
         if run.last_task == run.first.task {
@@ -103,6 +111,17 @@
     }
 }
 
+/// Size of task ranges as JSON, each with a comma, bytes.
+fn ranges_bytes(ranges: &[(u32, u32)]) -> usize {
+    ranges.iter().copied().map(task_range_bytes).sum()
+}
+
+/// Whether one of these inclusive ranges, in ascending order, contains a task.
+fn contains_task(ranges: &[(u32, u32)], task: u32) -> bool {
+    let preceding = ranges.partition_point(|(first, _)| *first <= task);
+    ranges[..preceding].last().is_some_and(|(_, last)| task <= *last)
+}
+
 impl Job {
     /// The chunk of a task.
     pub fn chunk_of(&self, task: u32) -> u32 {
@@ -160,7 +179,7 @@
         self.attempts.range(self.chunk_range(chunk)).map(|(task, _)| *task)
     }
 
-    /// Tasks of a chunk that have ended with success and are not recorded as done.
+    /// Tasks of a chunk that have ended with success and that the store does not hold as done.
     pub fn completed_in_chunk(&self, chunk: u32) -> impl Iterator<Item = u32> {
         let attempts = self.attempts.range(self.chunk_range(chunk));
         attempts.filter(|(_, attempt)| attempt.is_completed()).map(|(task, _)| *task)
@@ -183,12 +202,13 @@
         write: ChunkWrite,
         is_logged: impl Fn(u32) -> bool,
     ) -> ChunkContents {
-        let recorded = self.done.range(self.chunk_range(chunk));
-        let done: TaskSet = recorded.chain(self.completed_in_chunk(chunk)).collect();
-        let done = task_ranges(&done);
+        let done = self.storable_done(chunk, write.max_bytes);
         let bytes_left = write
             .max_bytes
             .saturating_sub(CHUNK_OVERHEAD_BYTES + done.len() * MAX_TASK_RANGE_BYTES);
+        let is_unlogged = |binding: &Binding| !is_logged(binding.task);
+        let unrecorded: Vec<Binding> =
+            self.unrecorded_bindings(chunk, &done).filter(is_unlogged).collect();
         let mut contents = ChunkContents {
             done,
             fitting: Vec::new(),
@@ -196,13 +216,17 @@
             overflowing: Vec::new(),
             bytes_left,
         };
-        let unlogged = self.live_bindings(chunk).filter(|binding| !is_logged(binding.task));
+        let unlogged = self.live_bindings(chunk).filter(is_unlogged);
         match write.encoding {
             BindingEncoding::Single => unlogged.for_each(|binding| contents.add_binding(binding)),
             BindingEncoding::Runs => {
                 binding_runs(unlogged).into_iter().for_each(|run| contents.add_run(run));
             }
         }
+        for binding in unrecorded {
+            // Without room for it a new leader runs the task again, which yields the same result.
+            let _ = contents.try_add_binding(binding);
+        }
         contents
     }
 
@@ -214,6 +238,48 @@
             .map(|(task, attempt)| attempt.binding(*task))
     }
 
+    /// Bindings of completed tasks of a chunk that are not among those recorded as done. A new leader that knows them
+    /// finds the results on their machines.
+    fn unrecorded_bindings(
+        &self,
+        chunk: u32,
+        done: &[(u32, u32)],
+    ) -> impl Iterator<Item = Binding> {
+        let attempts = self.attempts.range(self.chunk_range(chunk));
+        attempts
+            .filter(|(task, attempt)| attempt.is_completed() && !contains_task(done, **task))
+            .map(|(task, attempt)| attempt.binding(*task))
+    }
+
+    /// Whether the tasks that a chunk must record as done fit into a value of this many bytes. They may not fit if the
+    /// chunk was stored when the store allowed larger values: it can then be written once tasks between them have ended,
+    /// so that there are fewer ranges.
+    pub fn has_room_for_done(&self, chunk: u32, max_bytes: usize) -> bool {
+        ranges_bytes(&self.storable_done(chunk, max_bytes)) + CHUNK_OVERHEAD_BYTES <= max_bytes
+    }
+
+    /// The tasks that a chunk of this many bytes records as done, as inclusive ranges: all that the store holds already,
+    /// and of the other completed ones as many as fit. Those adjacent to recorded ones need no further range.
+    fn storable_done(&self, chunk: u32, max_bytes: usize) -> Vec<(u32, u32)> {
+        let recorded = self.done.range(self.chunk_range(chunk));
+        let all: TaskSet = recorded.chain(self.completed_in_chunk(chunk)).collect();
+        let is_recorded =
+            |range: &(u32, u32)| (range.0..=range.1).any(|task| self.done.contains(&task));
+        let (mut stored, mut others): (Vec<_>, Vec<_>) =
+            task_ranges(&all).into_iter().partition(is_recorded);
+        others.sort_by_key(|(first, last)| Reverse(last - first));
+        let mut bytes = CHUNK_OVERHEAD_BYTES + ranges_bytes(&stored);
+        for range in others {
+            bytes += task_range_bytes(range);
+            if bytes > max_bytes {
+                break;
+            }
+            stored.push(range);
+        }
+        stored.sort_unstable();
+        stored
+    }
+
     /// The up-to-date record of a chunk, within `write.max_bytes`. `is_logged` tells whether the binding log holds a
     /// task's binding. Bindings that are not in the log and do not fit must have been returned to the log before
     /// ([`Job::overflowing_bindings`]).
@@ -225,6 +291,12 @@
     ) -> BindingChunk {
         let contents = self.chunk_contents(chunk, write, &is_logged);
         let mut bytes_left = contents.bytes_left;
+        let unrecorded = self.unrecorded_bindings(chunk, &contents.done);
+        let logged: Vec<Binding> = self
+            .live_bindings(chunk)
+            .chain(unrecorded)
+            .filter(|binding| is_logged(binding.task))
+            .collect();
         let mut record = BindingChunk {
             write_number: write.write_number,
             covers: write.last_attempt,
@@ -240,7 +312,7 @@
         for binding in contents.overflowing {
             uncover(&mut record.covers, binding.attempt);
         }
-        for binding in self.live_bindings(chunk).filter(|binding| is_logged(binding.task)) {
+        for binding in logged {
             let size = binding.bytes();
             if write.logged == LoggedBindings::TakeOver && size <= bytes_left {
                 bytes_left -= size;
--- a/crates/controller/src/job/record.rs
+++ b/crates/controller/src/job/record.rs
@@ -4,6 +4,7 @@
 use super::{JobId, JobSpec, MachineId, TaskSet};
 use crate::constants::{
     BINDING_OVERHEAD_BYTES, CHUNK_OVERHEAD_BYTES, MAX_CHUNK_TASKS, MAX_TASK_RANGE_BYTES,
+    TASK_RANGE_OVERHEAD_BYTES,
 };
 use crate::settings::StoreSettings;
 use serde::{Deserialize, Serialize};
@@ -266,6 +267,16 @@
     }
 }
 
+/// Number of decimal digits.
+fn digits(number: u64) -> usize {
+    number.checked_ilog10().unwrap_or(0) as usize + 1
+}
+
+/// Size of an inclusive range of tasks as JSON with a trailing comma, bytes.
+pub(super) fn task_range_bytes((first, last): (u32, u32)) -> usize {
+    digits(u64::from(first)) + digits(u64::from(last)) + TASK_RANGE_OVERHEAD_BYTES
+}
+
 /// Binding of a task to a machine, stored as an array.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "(u32, u64, String, u64)", into = "(u32, u64, String, u64)")]
@@ -285,7 +296,6 @@
 impl Binding {
     /// Its size as JSON with a trailing comma, bytes.
     pub fn bytes(&self) -> usize {
-        let digits = |number: u64| number.checked_ilog10().unwrap_or(0) as usize + 1;
         let numbers =
             digits(u64::from(self.task)) + digits(self.attempt) + digits(self.worker_session);
         numbers + self.machine.len() + BINDING_OVERHEAD_BYTES
@@ -391,6 +401,11 @@
 }
 
 impl BindingChunk {
+    /// Whether it records a task as done.
+    pub fn records_done(&self, task: u32) -> bool {
+        self.done.iter().any(|(first, last)| (*first..=*last).contains(&task))
+    }
+
     /// All its bindings, those in runs included.
     pub fn all_bindings(&self) -> impl Iterator<Item = Binding> {
         let in_runs = self.runs.iter().flat_map(BindingRun::bindings);
--- a/tests/record_upgrade.rs
+++ b/tests/record_upgrade.rs
@@ -6,7 +6,7 @@
 use swiftsail_controller::cluster_state::ClusterState;
 use swiftsail_controller::controller::{CallContext, LeaderContext};
 use swiftsail_controller::job::{
-    AttemptPhase, Binding, BindingChunk, JobId, JobKind, JobRecord, keys,
+    Attempt, AttemptPhase, Binding, BindingChunk, Job, JobId, JobKind, JobRecord, keys,
 };
 use swiftsail_controller::settings::Settings;
 use swiftsail_controller::store::{StoreCall, StoreClient, StoreOutcome};
@@ -26,6 +26,28 @@
     }
 }
 
+/// A store that holds a leader's key, the job, and a chunk of it written under wide limits. Returns the fencing token too.
+fn store_with_chunk(chunk: BindingChunk) -> (FakeStore, u64) {
+    let mut store = FakeStore::new(controller_settings(0).settings.state.clone(), 0);
+    let token =
+        put_record(&mut store, keys::LEADER, json!({"node": "n0", "process": 1, "grant": 1}));
+    let record = JobRecord {
+        cancelled: false,
+        cancelled_wall: 0,
+        accepted_wall: 0,
+        chunk_tasks: TASKS,
+        write_number: 0,
+        tier: None,
+        depends_on: Vec::new(),
+        spec: job_spec(JobKind::Array, TASKS, 1.0, "img"),
+    };
+    let job = serde_json::to_value(record).expect("it has a JSON form");
+    put_record(&mut store, &keys::job(JOB), job);
+    let chunk = serde_json::to_value(chunk).expect("it has a JSON form");
+    put_record(&mut store, &format!("{}{JOB}/00000", keys::BINDINGS), chunk);
+    (store, token)
+}
+
 fn restore_cluster_state(store: &FakeStore, token: u64) -> ClusterState {
     let mut state = ClusterState::new(token, 1, 1_000);
     state.load_jobs(&store.list(keys::JOBS, None, 1_000), 1_000, 1_000);
@@ -47,25 +69,6 @@
 #[test]
 #[expect(clippy::too_many_lines, reason = "not split yet")]
 fn oversized_chunk_is_rewritten_without_losing_tasks() {
-    let initial_settings = controller_settings(0);
-    let mut store = FakeStore::new(initial_settings.settings.state.clone(), 0);
-    let token =
-        put_record(&mut store, keys::LEADER, json!({"node": "n0", "process": 1, "grant": 1}));
-    let record = JobRecord {
-        cancelled: false,
-        cancelled_wall: 0,
-        accepted_wall: 0,
-        chunk_tasks: TASKS,
-        write_number: 0,
-        tier: None,
-        depends_on: Vec::new(),
-        spec: job_spec(JobKind::Array, TASKS, 1.0, "img"),
-    };
-    put_record(
-        &mut store,
-        &keys::job(JOB),
-        serde_json::to_value(record).expect("it has a JSON form"),
-    );
     let bindings: Vec<Binding> = (40..240)
         .map(|task| Binding {
             task,
@@ -81,12 +84,8 @@
         bindings,
         runs: Vec::new(),
     };
-    put_record(
-        &mut store,
-        &format!("{}{JOB}/00000", keys::BINDINGS),
-        serde_json::to_value(chunk).expect("it has a JSON form"),
-    );
-    let mut settings: Settings = (*initial_settings).clone();
+    let (mut store, token) = store_with_chunk(chunk);
+    let mut settings: Settings = (*controller_settings(0)).clone();
     settings.settings.state.value_kb = 2.0;
     settings.settings.state.txn_ops = 5;
     store.limit_sizes(2.0, 5);
@@ -155,3 +154,125 @@
     );
     assert_eq!(expected.len(), 180, "tasks that exited must be recorded as done");
 }
+
+// ---- scattered completions ---------------------------------------------------------------------
+
+/// A leader whose transactions reach the store at once. All of them must be within the limits.
+struct PromptLeader {
+    state: ClusterState,
+    client: StoreClient<CallContext>,
+    settings: Settings,
+    store: FakeStore,
+    now: u64,
+}
+
+impl PromptLeader {
+    /// Writes what is due, as the leader does on each tick.
+    fn write(&mut self) {
+        self.now += 3_000;
+        let PromptLeader { state, client, settings, store, now } = self;
+        let mut ctx = LeaderContext { now: *now, wall_clock: *now, settings, store: client };
+        state.write_binding_log(&mut ctx);
+        state.flush_all(&mut ctx);
+        loop {
+            let (calls, expired) = client.take_due_calls(*now);
+            assert!(expired.is_empty());
+            if calls.is_empty() {
+                return;
+            }
+            for (number, call) in calls {
+                let StoreCall::Commit(transaction) = &call else { panic!("{call:?}") };
+                let outcome = match store.apply_transaction(transaction) {
+                    TransactionResult::Committed(revision) => StoreOutcome::Committed(revision),
+                    other => panic!("{other:?}: {call:?}"),
+                };
+                let finished = client.finish(number, outcome, *now).expect("it has an outcome");
+                let mut ctx =
+                    LeaderContext { now: *now, wall_clock: *now, settings, store: client };
+                let is_deposed = match &finished.context {
+                    CallContext::WriteBindingLog { .. } => {
+                        state.on_binding_log_written(&finished, &mut ctx)
+                    }
+                    CallContext::FlushJob { .. } => {
+                        state.on_job_flushed(&JobId::from(JOB), &finished, &mut ctx)
+                    }
+                    other => panic!("{other:?}"),
+                };
+                assert!(!is_deposed);
+            }
+        }
+    }
+
+    fn complete(&mut self, task: u32) {
+        let job = self.state.jobs.get_mut(JOB).expect("the job is live");
+        let mut attempt = job.attempts.get_mut(&task).expect("the task is bound");
+        attempt.advance(AttemptPhase::Exited(ExitCause::Completed), self.now);
+        drop(attempt);
+        job.mark_chunk_dirty(task, self.now);
+    }
+}
+
+/// Asserts that a leader that starts now knows every task that is still on its machine, and holds none as done that is
+/// not. Returns the number of tasks recorded as done.
+fn assert_next_leader_knows_tasks(leader: &PromptLeader, job: &Job) -> usize {
+    let next = restore_cluster_state(&leader.store, leader.state.token);
+    let recorded = &next.jobs[JOB].done;
+    let has_ended = |task| {
+        job.done.contains(&task) || job.attempts.get(&task).is_some_and(Attempt::is_completed)
+    };
+    assert!(recorded.iter().all(has_ended));
+    let known = attempts_by_task(&next);
+    for (task, attempt) in job.attempts.iter().filter(|(_, a)| a.occupies_resources()) {
+        assert_eq!(known.get(task), Some(&attempt.number), "task {task}");
+    }
+    recorded.len()
+}
+
+/// Guards against a chunk whose scattered completed tasks take more than the lowered value: each write was refused for
+/// good, so that no completion of the chunk was recorded, and its workers had to report all exited tasks.
+#[test]
+fn scattered_completions_are_recorded_as_far_as_they_fit() {
+    // Every `stored_step`th task is recorded as done under the earlier limits, which may be more than fits now.
+    for stored_step in [2, 3, 4, TASKS] {
+        let is_stored = |task: &u32| task.is_multiple_of(stored_step);
+        let binding = |task| Binding {
+            task,
+            attempt: u64::from(task) + 100,
+            machine: format!("m-{:06}", task / 4).into(),
+            worker_session: 1,
+        };
+        let (mut store, token) = store_with_chunk(BindingChunk {
+            write_number: 1,
+            covers: 9_999,
+            done: (0..TASKS).filter(is_stored).map(|task| (task, task)).collect(),
+            bindings: (0..TASKS).filter(|task| !is_stored(task)).map(binding).collect(),
+            runs: Vec::new(),
+        });
+        let mut settings: Settings = (*controller_settings(0)).clone();
+        (settings.settings.state.value_kb, settings.settings.state.txn_ops) = (1.0, 5);
+        store.limit_sizes(1.0, 5);
+        let state = restore_cluster_state(&store, token);
+        let client = StoreClient::new(1_000.0, 1_000.0, 1_000);
+        let mut leader = PromptLeader { state, client, settings, store, now: 1_000 };
+
+        let mut open: Vec<u32> = (0..TASKS).filter(|task| !is_stored(task)).collect();
+        // Every second one first, so that the completed tasks are as scattered as can be.
+        open.sort_by_key(|task| (task % 2, *task));
+        let open_count = open.len();
+        let mut recorded = 0;
+        for (ended, task) in open.into_iter().enumerate() {
+            leader.complete(task);
+            leader.write();
+            let Some(job) = leader.state.jobs.get(JOB) else {
+                assert_eq!(ended + 1, open_count, "the job ends with its last task");
+                break;
+            };
+            let recorded_now = assert_next_leader_knows_tasks(&leader, job);
+            assert!(recorded_now >= recorded, "step {stored_step}");
+            recorded = recorded_now;
+        }
+        assert!(recorded > 200, "step {stored_step}: {recorded} recorded before the end");
+        let ended = leader.store.get(&keys::job(JOB)).expect("its final record is stored");
+        assert_eq!((&ended.value["e"], &ended.value["n"]), (&json!("d"), &json!(TASKS)));
+    }
+}
