A plug-in with many chunks can be removed under lowered limits

What callers saw: an operator who removes a plug-in stored in more chunks than a transaction may have changes now gets "the state service did not confirm" for good.

Cause: the removal deleted all chunks in one transaction.

Change: offers and removals share one bound. Chunks beyond it stay, unread.

Evidence: plugin_with_many_chunks_is_removed_after_limits_fall failed before (503) and holds now.

--- a/crates/controller/src/controller/plugins.rs
+++ b/crates/controller/src/controller/plugins.rs
@@ -272,12 +272,19 @@
         let chunk_bytes = (state.value_kb * 512.0) as usize - 64;
         let chunks = split_into_chunks(&offer.source, chunk_bytes);
         // One transaction writes the record and all chunks.
-        if chunks.len() + 1 > state.txn_ops {
-            return Err(OfferError::TooLong { max_bytes: (state.txn_ops - 1) * chunk_bytes });
+        let max_chunks = self.max_source_mutations();
+        if chunks.len() > max_chunks {
+            return Err(OfferError::TooLong { max_bytes: max_chunks * chunk_bytes });
         }
         Ok(CheckedOffer { hooks, chunks })
     }
 
+    /// Maximum number of source chunks that a transaction with a plug-in's record may write or delete. Chunks beyond it, of
+    /// a source stored when more were allowed, stay in the store and are never read again.
+    fn max_source_mutations(&self) -> usize {
+        self.settings.settings.state.txn_ops.saturating_sub(1)
+    }
+
     /// Writes a validated offer as a new version of the plug-in, enabled if the offer asks for it.
     fn write_offer(
         &mut self,
@@ -310,8 +317,7 @@
             .enumerate()
             .map(|(index, chunk)| put_mutation(chunk_key(name, version, index as u32), chunk))
             .collect();
-        // The replaced source is deleted as far as the transaction's maximum number of mutations allows.
-        let remaining = self.settings.settings.state.txn_ops - 1 - mutations.len();
+        let remaining = self.max_source_mutations().saturating_sub(mutations.len());
         let deletions = replaced.iter().flat_map(|plugin| source_deletions(&plugin.record));
         mutations.extend(deletions.take(remaining));
         let requester = WriteRequester::Operator(request);
@@ -337,7 +343,9 @@
             return self.answer(request, admin_error_reply(http_status::CONFLICT, error));
         }
         let mutations = match transition {
-            PluginTransition::Remove => source_deletions(&plugin.record).collect(),
+            PluginTransition::Remove => {
+                source_deletions(&plugin.record).take(self.max_source_mutations()).collect()
+            }
             _ => Vec::new(),
         };
         self.write_plugin(WriteRequester::Operator(request), plugin, mutations);
--- a/tests/plugins.rs
+++ b/tests/plugins.rs
@@ -174,6 +174,28 @@
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
 
+/// Guards against a plug-in whose removal deletes more chunks than the lowered limits allow in a transaction, so that it
+/// was refused for good.
+#[test]
+fn plugin_with_many_chunks_is_removed_after_limits_fall() {
+    let mut sim = Simulation::new(22, FaultRates::NONE, 1_000);
+    sim.operator = parse_operator("");
+    let long = format!("fn priority(job, cluster) {{ 5 }}\n// {}", "x".repeat(24_000));
+    let added = sim.schedule_admin_request(4_000, 1, offer_plugin("long", &long, 10));
+    sim.run_until(8_000);
+    assert_eq!(sim.admin_answers[&added].status, 200, "{}", admin_answer_body(&sim, added));
+    sim.announce_store_sizes(2.0, 5);
+    (0..3).for_each(|n| sim.schedule_crash(9_000 + n * 8_000, n as usize));
+    sim.run_until(40_000);
+    sim.store.limit_sizes(2.0, 5);
+    let change = |transition| AdminRequest::ChangePlugin("long".into(), transition);
+    let removed = sim.schedule_admin_request(40_500, 1, change(PluginTransition::Remove));
+    let enabled = sim.schedule_admin_request(44_000, 2, change(PluginTransition::Enable));
+    sim.run_until(48_000);
+    assert_eq!(sim.admin_answers[&removed].status, 200, "{}", admin_answer_body(&sim, removed));
+    assert_eq!(sim.admin_answers[&enabled].status, 404);
+}
+
 /// Plug-ins must not restrict the placement or admission of production work: avoiding most machine types would make a
 /// service wait for a machine to boot.
 #[test]
