Admission and binding count amounts in one way

One above the limit by less than a millionth was accepted too.

Cause: admission compared floating-point products with a tolerance, while the binding guard and placement rounded each task up to a billionth.

Stored records, limits and transfers stay whole billionths: fixtures of recorded bytes are unchanged.

--- a/tests/team_limits.rs
+++ b/tests/team_limits.rs
@@ -36,6 +36,100 @@
     );
 }
 
+/// A team's limit divided among a number of tasks, in the ways in which users compute it.
+fn divided_limit() -> impl Strategy<Value = (f64, u32, f64)> {
+    let limit = prop_oneof![(1..60_000u32).prop_map(f64::from), 0.001..60_000.0f64];
+    (limit, 1..100_000u32, 0..3u8).prop_map(|(limit, tasks, way)| {
+        let count = f64::from(tasks);
+        let each = match way {
+            0 => limit / count,
+            1 => limit * (1.0 / count),
+            _ => format!("{:.13}", limit / count).parse().expect("a number"),
+        };
+        (limit, tasks, each)
+    })
+}
+
+/// Tasks that together use no more than their team's limit fit, all at once or one after the other, and no more than that:
+/// whatever fits has a sum that exceeds the limit by less than its floating-point error.
+#[test]
+fn tasks_that_divide_a_limit_fit_and_their_sum_stays_within_it() {
+    let result = test_runner(54, 4_000).run(&divided_limit(), |(limit, tasks, each)| {
+        let quota = QuotaLimit::from_settings(limit, 0.0);
+        // Limits are kept in billionths, rounded down.
+        let kept_limit = quota.limit().cpus.to_f64();
+        let per_task = ResourceQuantities::from_request(each, 0.0);
+        let all = per_task.multiplied_by(tasks);
+        let is_admitted = quota.allows(ResourceQuantities::ZERO, all);
+        if each * f64::from(tasks) <= kept_limit {
+            prop_assert!(is_admitted, "{tasks} x {each:?} of {limit:?}");
+        }
+        let fitting = quota.remaining(ResourceQuantities::ZERO).fit_count(per_task);
+        prop_assert_eq!(is_admitted, fitting >= tasks);
+        let fitting = fitting.min(tasks);
+        let all_but_one = per_task.multiplied_by(fitting.saturating_sub(1));
+        prop_assert!(fitting == 0 || quota.allows(all_but_one, per_task));
+        let sum = each * f64::from(fitting);
+        prop_assert!(
+            sum <= kept_limit * (1.0 + 1e-14),
+            "{fitting} x {each:?} = {sum:?} of {limit:?}"
+        );
+        Ok(())
+    });
+    result.expect("a divided limit fits");
+}
+
+/// What is stored of a quantity is whole billionths: usage is rounded up, what is given away is rounded down.
+#[test]
+fn stored_quantities_are_whole() {
+    for number in [0.1, 2.0, 13.333333333333334, 0.0012, 59_999.999_999_999] {
+        let requested = Quantity::from_request(number);
+        let stored: Quantity =
+            serde_json::from_str(&serde_json::to_string(&requested).expect("JSON"))
+                .expect("it is read again");
+        assert_eq!(stored, requested.rounded_up());
+        assert!(requested.rounded_down() <= requested && requested <= stored);
+        assert!(stored.units() - requested.rounded_down().units() <= 1, "{number}");
+        assert_eq!(Quantity::from_units(stored.units()), stored);
+    }
+    let unlimited = serde_json::to_string(&Quantity::MAX).expect("JSON");
+    assert_eq!(unlimited, i64::MAX.to_string());
+    assert_eq!(serde_json::from_str::<Quantity>(&unlimited).expect("it is read"), Quantity::MAX);
+}
+
+/// Guards against `review/gang-at-limit.toml`: admission and binding counted amounts differently, so that a gang whose
+/// tasks use exactly their team's limit was accepted and never started.
+#[test]
+fn gang_at_its_teams_limit_starts() {
+    // Team red has a limit of 40 CPUs. Each is the nearest floating-point number to the exact part.
+    for (tasks, cpus) in [(6, 6.666666666666667), (9, 4.444444444444445), (12, 3.3333333333333335)]
+    {
+        let mut sim = Simulation::new(9, FaultRates::NONE, 1_000);
+        let mut gang = job_body("wk-g", "gang", "red", tasks, cpus, 8.0);
+        gang["one_zone"] = false.into();
+        sim.submit(500, None, gang);
+        sim.run_until(120_000);
+        let job = &sim.jobs[0];
+        assert_eq!(job.last_status.as_deref(), Some("done"), "{tasks} x {cpus}");
+        assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+    }
+}
+
+/// A job that needs more than its team's limit is refused at submission, also if only by a billionth.
+#[test]
+fn job_above_its_teams_limit_is_refused() {
+    let mut sim = Simulation::new(10, FaultRates::NONE, 1_000);
+    for (n, cpus) in [6.666666667667, 6.66666666767, 6.7].into_iter().enumerate() {
+        sim.submit(20_000, None, job_body(&format!("wk-g{n}"), "gang", "red", 6, cpus, 8.0));
+    }
+    sim.submit(20_000, None, job_body("wk-a", "array", "red", 6, 6.7, 8.0));
+    sim.run_until(60_000);
+    for job in &sim.jobs[..3] {
+        assert_eq!(job.refused_with, Some(422), "{}", job.id);
+    }
+    assert!(sim.jobs[3].accepted, "of an array one task must fit");
+}
+
 fn claim_strategy() -> impl Strategy<Value = Vec<QuotaClaim>> {
     let claim = (0..3usize, 0..4u8, 0..12u32, 0..6u32, 1..40u32, any::<bool>(), any::<bool>());
     let claim = (claim, prop::option::of(1_000.0..400_000.0f64), 5_000.0..90_000.0f64);
