A gang that must stay in one zone and be spread is refused

Cause: admission did not compare the gang's conditions with each other.

Arrays and services are accepted as before.

Evidence: gang_with_contradictory_zones_is_refused failed before (accepted) and holds now.

--- a/crates/controller/src/controller/requests/admission.rs
+++ b/crates/controller/src/controller/requests/admission.rs
@@ -79,6 +79,10 @@
             let error = "a task fits no allowed machine type; ask for less or allow more types";
             return Some(error_reply(http_status::UNPROCESSABLE, error.into()));
         }
+        if spec.kind == JobKind::Gang && spec.has_contradictory_zones() {
+            let error = "a gang that must stay in one zone cannot be spread; ask for one of both";
+            return Some(error_reply(http_status::UNPROCESSABLE, error.into()));
+        }
         let tasks_at_once = if spec.kind == JobKind::Array { 1 } else { spec.tasks };
         let needed = quota_per_task(spec).multiplied_by(tasks_at_once);
         let limit = QuotaLimit::from_settings(team.cpus_max, team.gpus_max);
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -100,6 +100,13 @@
         self.task_name_bytes = id.len() as u32 + 1 + digits;
     }
 
+    /// Whether its tasks cannot all run at a time, wherever there is room: they must be in one zone, of which fewer may be
+    /// in any zone.
+    pub fn has_contradictory_zones(&self) -> bool {
+        let is_in_one_zone = self.one_zone || self.zone.is_some();
+        is_in_one_zone && self.max_tasks_per_zone() < self.tasks
+    }
+
     /// Maximum number of tasks that may run in one zone at a time.
     pub fn max_tasks_per_zone(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { self.tasks }
--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -88,3 +88,31 @@
     // A zone gets half of the machines, and one more if it is tied.
     assert!(zones.len() >= 2 && zones.values().all(|n| *n <= 4), "{zones:?}");
 }
+
+/// A gang that must be in one zone and spread over several can never run, and is refused rather than accepted and left
+/// pending. A gang of one task, and jobs whose tasks need not run at the same time, are accepted.
+#[test]
+fn gang_with_contradictory_zones_is_refused() {
+    let mut world = Simulation::new(5, FaultRates::NONE, 1_000);
+    let body = |id: &str, shape: &str, tasks, one_zone: bool, zone: Option<&str>| {
+        let mut body = job_body(id, shape, "blue", tasks, 1.0, 4.0);
+        (body["one_zone"], body["dock"]) = (one_zone.into(), zone.into());
+        (body["scatter"], body["due_s"]) = (true.into(), serde_json::Value::Null);
+        body
+    };
+    world.submit(20_000, None, body("wk-r1", "gang", 2, true, None));
+    world.submit(20_000, None, body("wk-r2", "gang", 5, false, Some("a")));
+    world.submit(20_000, None, body("wk-a1", "gang", 1, true, Some("b")));
+    world.submit(20_000, None, body("wk-a2", "gang", 4, false, None));
+    world.submit(20_000, None, body("wk-a3", "array", 3, true, None));
+    world.run_until(120_000);
+    for job in &world.jobs {
+        if job.id.starts_with("wk-r") {
+            assert_eq!(job.refused_with, Some(422), "{}", job.id);
+        } else {
+            let status = job.last_status.as_deref();
+            assert_eq!(status, Some("done"), "{}", world.describe_job(&job.id));
+        }
+    }
+    assert!(world.violations.is_empty(), "{:?}", world.violations);
+}
