Soak: large jobs under faults while the limits fall

Cause: the tests of the fix each play one fault. Change: a short seeded run of random large jobs, cancellations, crashes, outages and lost messages while the limits fall, which also asserts that nothing but a submission is written beyond the announced limits (`LOWERED_LIMITS=FROM..TO` for other seeds).

--- a/tests/lowered_store_limits.rs
+++ b/tests/lowered_store_limits.rs
@@ -6,12 +6,22 @@
 
 use common::cluster::assert_completed_without_violations;
 use common::property_tests::test_runner;
+use common::seeds::seeds_from_environment;
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use swiftsail_controller::controller::AdminRequest;
-use swiftsail_controller::job::{CancelledForm, JobKind, JobRecord, StoredJob};
+use swiftsail_controller::job::{CancelledForm, JobKind, JobRecord, StoredJob, keys};
+use swiftsail_controller::store::TransactionSize;
+use swiftsail_protocol::state::Mutation;
 use swiftsail_protocol::users::JobSpec;
-use swiftsail_simulation::simulation::{FaultRates, START_MS, Simulation, job_body, job_spec};
+use swiftsail_simulation::simulation::{
+    FaultRates, START_MS, Simulation, TransactionFate, job_body, job_spec,
+};
 
 /// The lowered limits.
 const VALUE_KB: f64 = 2.0;
@@ -19,6 +29,8 @@
 /// The job that is cancelled, and one of the same size that is not.
 const CANCELLED_JOB: &str = "wk-cancelled";
 const KEPT_JOB: &str = "wk-kept";
+/// Jobs that the largest of the random jobs awaits.
+const DEPENDENCIES: usize = 220;
 /// When the user cancels, ms from the start.
 const CANCEL_AT_MS: u64 = 50_000;
 /// Time within which the cancellation must be answered once the controllers run, ms.
@@ -263,6 +275,90 @@
     assert_eq!(total(&after_cancellation), (1, temporary));
 }
 
+/// A random part that makes a record larger than the lowered limit, or not quite.
+fn random_part(rng: &mut StdRng) -> LargePart {
+    match rng.random_range(0..3) {
+        0 => LargePart::Dependencies(rng.random_range(1..=DEPENDENCIES)),
+        1 => LargePart::MachineTypes(rng.random_range(40..250)),
+        _ => LargePart::Texts(rng.random_range(100..=200)),
+    }
+}
+
+/// Records, from now on, the keys that transactions write beyond the announced limits. Submissions may: they are accepted
+/// as long as the limits in force take them.
+fn record_oversized_writes(sim: &mut Simulation) -> Rc<RefCell<BTreeSet<String>>> {
+    let oversized = Rc::new(RefCell::new(BTreeSet::new()));
+    let recorded = oversized.clone();
+    sim.transaction_interceptor = Some(Box::new(move |_, _, transaction| {
+        let size = TransactionSize::of(transaction);
+        let is_submission = transaction
+            .preconditions
+            .iter()
+            .any(|condition| condition.key.starts_with(keys::JOBS) && condition.mod_revision == 0);
+        let is_oversized = size.largest_value_bytes > (VALUE_KB * 1024.0) as usize
+            || size.mutations > TXN_OPS
+            || size.preconditions > 4 * TXN_OPS;
+        if is_oversized && !is_submission {
+            let keys = transaction.mutations.iter().map(|mutation| match mutation {
+                Mutation::Put { key, .. } | Mutation::Delete { key } => key.clone(),
+            });
+            recorded.borrow_mut().extend(keys);
+        }
+        TransactionFate::AsConfigured
+    }));
+    oversized
+}
+
+/// Large jobs are submitted and cancelled at random while controllers crash, the state service is away and messages are
+/// lost, and the limits fall meanwhile. Every accepted job ends as its user expects, and nothing but a submission is ever
+/// written beyond the announced limits.
+#[test]
+fn large_jobs_end_under_faults_while_limits_fall() {
+    let mut cancelled = 0;
+    for seed in seeds_from_environment("LOWERED_LIMITS").unwrap_or(0..8) {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x57);
+        let has_message_faults = seed % 2 == 0;
+        let faults = FaultRates {
+            message_loss: if has_message_faults { 0.03 } else { 0.0 },
+            message_delay: if has_message_faults { 0.02 } else { 0.0 },
+            crashes: rng.random_range(0..5),
+            outages_and_hangs: rng.random_range(0..3),
+        };
+        let mut sim = Simulation::with_capacity(seed, faults, 150_000, 12);
+        sim.restart_delay_ms = [None, Some(100), Some(1_000)][rng.random_range(0..3)];
+        sim.announce_store_sizes(VALUE_KB, TXN_OPS);
+        let oversized = record_oversized_writes(&mut sim);
+        for n in 0..DEPENDENCIES {
+            let mut body = job_body(&dependency_id(n), "array", "blue", 1, 0.2, 2.0);
+            body["due_s"] = Value::Null;
+            sim.submit(500 + n as u64 * 40, None, body);
+        }
+        for n in 0..8 {
+            let at = rng.random_range(12_000..60_000);
+            let cancel_at = rng.random_bool(0.7).then(|| at + rng.random_range(500..90_000));
+            let mut body = random_part(&mut rng).body(&format!("wk-l{n}"));
+            body["eta_s"] = json!(rng.random_range(4.0..90.0));
+            sim.submit(at, cancel_at, body);
+        }
+        if rng.random_bool(0.5) {
+            let all_crash_at = rng.random_range(40_000..140_000);
+            (0..3).for_each(|n| sim.schedule_crash(all_crash_at, n));
+        }
+        sim.run_until(rng.random_range(20_000..120_000));
+        sim.store.limit_sizes(VALUE_KB, TXN_OPS);
+        sim.run_until(420_000);
+        let context = format!("seed {seed}");
+        assert!(sim.violations.is_empty(), "{context}: {:?}", sim.violations);
+        assert!(oversized.borrow().is_empty(), "{context}: {:?}", oversized.borrow());
+        for job in &sim.jobs {
+            let has_ended = if job.accepted { job.is_over() } else { job.refused_with.is_some() };
+            assert!(has_ended, "{context}: {}", sim.describe_job(&job.id));
+        }
+        cancelled += sim.jobs.iter().filter(|job| job.cancellation_told_at.is_some()).count();
+    }
+    assert!(cancelled >= 16, "{cancelled} jobs were cancelled");
+}
+
 // ---- records -----------------------------------------------------------------------------------
 
 fn job_record(spec: JobSpec, depends_on: &[String]) -> JobRecord {
