The binding log's preconditions count against the size of a transaction

Where a transaction may have 128 changes, one that binds tasks of some 500 new jobs exceeded 64 KiB, was refused for good and sent again: nothing more was bound.

Cause: only the segments were counted, not the preconditions on the jobs' records.

Change: they have what the segments leave of 60 KiB, 4 KiB at least. With the deployments' limits the number of segments and preconditions stays as it was for ids of the usual length.

Evidence: binding_log_of_many_new_jobs_stays_within_a_transaction failed before (Malformed: the transaction is larger than the limits) and holds now.

--- a/crates/controller/src/constants/jobs.rs
+++ b/crates/controller/src/constants/jobs.rs
@@ -77,6 +77,12 @@
 /// determines the CPU cost of a write.
 pub const MAX_SEGMENT_BYTES: usize = 8 * 1024;
 
+/// Bytes of a binding log transaction that are reserved for preconditions on jobs, at least.
+pub const MIN_LOG_PRECONDITION_BYTES: usize = 4 * 1024;
+
+/// JSON size of a precondition without its key, bytes, at most: field names, punctuation and a revision of 20 digits.
+pub const PRECONDITION_OVERHEAD_BYTES: usize = 44;
+
 /// Bindings in all log segments at most; bounds memory. Further bindings wait until chunks have compacted some.
 pub const MAX_LOGGED_BINDINGS: usize = 4_000;
 
--- a/crates/controller/src/controller/binding_log.rs
+++ b/crates/controller/src/controller/binding_log.rs
@@ -12,7 +12,8 @@
 use crate::cluster_state::{ClusterState, InFlightLogWrite, LogSegment, LogSegmentRecord, TaskId};
 use crate::constants::{
     BINDING_LOG_BUSY_PAUSE_FACTOR, BINDING_LOG_PAUSE_FACTOR, MAX_QUEUED_FINAL_RECORDS,
-    MAX_SEGMENT_BYTES, MAX_SEGMENTS, MAX_TRANSACTION_BYTES, MIN_BINDING_LOG_INTERVAL_MS, MS_PER_S,
+    MAX_SEGMENT_BYTES, MAX_SEGMENTS, MAX_TRANSACTION_BYTES, MIN_BINDING_LOG_INTERVAL_MS,
+    MIN_LOG_PRECONDITION_BYTES, MS_PER_S, PRECONDITION_OVERHEAD_BYTES,
 };
 use crate::job::{Attempt, AttemptPhase, JobId, keys};
 use crate::machine::AttemptId;
@@ -32,6 +33,8 @@
     jobs: BTreeSet<JobId>,
     /// Maximum number of such jobs.
     max_jobs: usize,
+    /// Bytes left in the transaction for their preconditions.
+    precondition_bytes_left: usize,
     /// Log entries whose attempts have ended in the meantime.
     obsolete: Vec<AttemptId>,
 }
@@ -81,9 +84,10 @@
         self.write_number += 1;
         let state = &ctx.settings.settings.state;
         let max_value_bytes = state.max_value_bytes();
+        let segment_bytes = max_value_bytes.clamp(1, MAX_SEGMENT_BYTES);
         let max_segments = state
             .txn_ops
-            .min(MAX_TRANSACTION_BYTES / max_value_bytes.clamp(1, MAX_SEGMENT_BYTES))
+            .min((MAX_TRANSACTION_BYTES - MIN_LOG_PRECONDITION_BYTES) / segment_bytes)
             .max(1);
         let max_preconditions = state.txn_ops * PRECONDITIONS_PER_WRITE;
         let mut write = LogWrite::new(
@@ -91,6 +95,7 @@
             self.write_number,
             // One precondition is for the leader's key, and one for each segment.
             max_preconditions.saturating_sub(1 + max_segments),
+            MAX_TRANSACTION_BYTES.saturating_sub(max_segments * segment_bytes),
         );
         for number in dirty.into_iter().take(max_segments) {
             self.add_segment(number, &mut write);
@@ -283,7 +288,7 @@
 
 impl LogWrite {
     /// An empty transaction that can be applied only while this controller holds the leader's key.
-    fn new(token: u64, write_number: u64, max_jobs: usize) -> LogWrite {
+    fn new(token: u64, write_number: u64, max_jobs: usize, precondition_bytes: usize) -> LogWrite {
         let leadership = Precondition { key: keys::LEADER.into(), mod_revision: token };
         LogWrite {
             commit: Transaction { preconditions: vec![leadership], mutations: Vec::new() },
@@ -297,20 +302,31 @@
             },
             jobs: BTreeSet::new(),
             max_jobs,
+            precondition_bytes_left: precondition_bytes,
             obsolete: Vec::new(),
         }
     }
 
+    /// Adds a job whose record must be unchanged, if the transaction has room for its precondition. Returns whether it was
+    /// added.
+    fn add_job(&mut self, id: &JobId) -> bool {
+        let bytes = keys::job(id).len() + PRECONDITION_OVERHEAD_BYTES;
+        if self.jobs.len() >= self.max_jobs || bytes > self.precondition_bytes_left {
+            return false;
+        }
+        self.precondition_bytes_left -= bytes;
+        self.jobs.insert(id.clone())
+    }
+
     /// Whether a binding may be included in the transaction. A new binding needs a precondition on its job, and must
     /// wait for the next transaction if none is left in this one.
     fn admit(&mut self, id: &TaskId, attempt: &Attempt) -> bool {
         if attempt.phase() != AttemptPhase::Committing {
             return true;
         }
-        if !self.jobs.contains(&id.job) && self.jobs.len() >= self.max_jobs {
+        if !self.jobs.contains(&id.job) && !self.add_job(&id.job) {
             return false;
         }
-        self.jobs.insert(id.job.clone());
         self.in_flight.bindings.push(attempt_id(id, attempt.number));
         true
     }
--- a/tests/record_upgrade.rs
+++ b/tests/record_upgrade.rs
@@ -3,15 +3,15 @@
 
 use serde_json::json;
 use std::collections::BTreeMap;
-use swiftsail_controller::cluster_state::ClusterState;
+use swiftsail_controller::cluster_state::{ClusterState, ReportSource};
 use swiftsail_controller::controller::{CallContext, LeaderContext};
 use swiftsail_controller::job::{
-    Attempt, AttemptPhase, Binding, BindingChunk, Job, JobId, JobKind, JobRecord, keys,
+    Attempt, AttemptPhase, Binding, BindingChunk, Job, JobId, JobKind, JobRecord, MachineId, keys,
 };
 use swiftsail_controller::settings::Settings;
 use swiftsail_controller::store::{StoreCall, StoreClient, StoreOutcome};
 use swiftsail_protocol::state::{Mutation, Transaction};
-use swiftsail_protocol::workers::ExitCause;
+use swiftsail_protocol::workers::{ExitCause, StatusReport};
 use swiftsail_simulation::simulation::{controller_settings, job_spec};
 use swiftsail_simulation::store::{FakeStore, TransactionResult};
 
@@ -26,12 +26,8 @@
     }
 }
 
-/// A store that holds a leader's key, the job, and a chunk of it written under wide limits. Returns the fencing token too.
-fn store_with_chunk(chunk: BindingChunk) -> (FakeStore, u64) {
-    let mut store = FakeStore::new(controller_settings(0).settings.state.clone(), 0);
-    let token =
-        put_record(&mut store, keys::LEADER, json!({"node": "n0", "process": 1, "grant": 1}));
-    let record = JobRecord {
+fn job_record() -> JobRecord {
+    JobRecord {
         cancelled: false,
         cancelled_wall: 0,
         accepted_wall: 0,
@@ -40,8 +36,15 @@
         tier: None,
         depends_on: Vec::new(),
         spec: job_spec(JobKind::Array, TASKS, 1.0, "img"),
-    };
-    let job = serde_json::to_value(record).expect("it has a JSON form");
+    }
+}
+
+/// A store that holds a leader's key, the job, and a chunk of it written under wide limits. Returns the fencing token too.
+fn store_with_chunk(chunk: BindingChunk) -> (FakeStore, u64) {
+    let mut store = FakeStore::new(controller_settings(0).settings.state.clone(), 0);
+    let token =
+        put_record(&mut store, keys::LEADER, json!({"node": "n0", "process": 1, "grant": 1}));
+    let job = serde_json::to_value(job_record()).expect("it has a JSON form");
     put_record(&mut store, &keys::job(JOB), job);
     let chunk = serde_json::to_value(chunk).expect("it has a JSON form");
     put_record(&mut store, &format!("{}{JOB}/00000", keys::BINDINGS), chunk);
@@ -276,3 +279,59 @@
         assert_eq!((&ended.value["e"], &ended.value["n"]), (&json!("d"), &json!(TASKS)));
     }
 }
+
+/// The first report of a machine without tasks.
+fn empty_report(fencing_token: u64) -> StatusReport {
+    StatusReport {
+        machine: "m-000001".into(),
+        address: "10.1.0.1:9000".into(),
+        machine_type: "s4".into(),
+        zone: "a".into(),
+        session: 1,
+        sequence: 1,
+        fencing_token,
+        spot: true,
+        reclaim_in_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// Guards against a binding log transaction that the preconditions of many new jobs make larger than the state service
+/// takes, where it allows many changes: it was refused for good, and no further task was bound.
+#[test]
+fn binding_log_of_many_new_jobs_stays_within_a_transaction() {
+    for (value_kb, txn_ops, id_digits) in
+        [(8.0, 128, 9), (8.0, 16, 110), (32.0, 256, 9), (2.0, 512, 20)]
+    {
+        let mut settings: Settings = (*controller_settings(0)).clone();
+        (settings.settings.state.value_kb, settings.settings.state.txn_ops) = (value_kb, txn_ops);
+        let mut store = FakeStore::new(settings.settings.state.clone(), 0);
+        let leader = json!({"node": "n0", "process": 1, "grant": 1});
+        let token = put_record(&mut store, keys::LEADER, leader);
+        let mut record = job_record();
+        record.spec.tasks = 4;
+        let ids: Vec<String> = (0..900).map(|n| format!("wk-{n:0id_digits$}")).collect();
+        for id in &ids {
+            let value = serde_json::to_value(&record).expect("it has a JSON form");
+            put_record(&mut store, &keys::job(id), value);
+        }
+        let mut state = restore_cluster_state(&store, token);
+        state.on_status_report(&empty_report(token), ReportSource::StatusReport, 1_000, &[]);
+        let max_bytes = settings.settings.state.max_value_bytes();
+        for id in &ids {
+            for _ in 0..4 {
+                let attempt = state.next_attempt_number();
+                let machine = MachineId::from("m-000001");
+                let usable_bytes = max_bytes - max_bytes / 32;
+                let id = JobId::from(id.as_str());
+                let bound = state.bind(&id, &machine, attempt, usable_bytes, 1_000);
+                assert!(bound.is_some());
+            }
+        }
+        let client = StoreClient::new(1_000.0, 1_000.0, 1_000);
+        let mut leader = PromptLeader { state, client, settings, store, now: 1_000 };
+        (0..400).for_each(|_| leader.write());
+        let uncommitted = leader.state.jobs.values().map(|job| job.attempts.counts().committing);
+        assert_eq!(uncommitted.sum::<usize>(), 0, "{value_kb} KiB, {txn_ops} changes");
+    }
+}
