--- a/crates/controller/src/controller/requests/admission.rs
+++ b/crates/controller/src/controller/requests/admission.rs
@@ -6,14 +6,13 @@
     store_unavailable_reply, unconfirmed_write_reply,
 };
 use super::{CacheFreshness, PendingRequest, RequestIntent};
-use crate::cluster_state::quota_per_task;
+use crate::constants::AMOUNT_TOLERANCE;
 use crate::controller::chunks::put_mutation;
 use crate::controller::{CallContext, Controller, Reply, RequestId};
 use crate::job::{JobId, JobKind, JobRecord, JobSpec, keys};
 use crate::store::{CallPriority, StoreCall, StoreOutcome};
 use swiftsail_protocol::state::{Precondition, Transaction};
 use swiftsail_protocol::users::{JobStatus, Submission, read_submission};
-use swiftsail_quota::{QuotaLimit, ResourceQuantities};
 
 impl Controller {
     /// Handles a submission: checks it, and writes the job's record if the job is new and admissible.
@@ -83,10 +82,11 @@
             let error = "a gang that must stay in one zone cannot be spread; ask for one of both";
             return Some(error_reply(http_status::UNPROCESSABLE, error.into()));
         }
-        let tasks_at_once = if spec.kind == JobKind::Array { 1 } else { spec.tasks };
-        let needed = quota_per_task(spec).multiplied_by(tasks_at_once);
-        let limit = QuotaLimit::from_settings(team.cpus_max, team.gpus_max);
-        if !limit.allows(ResourceQuantities::ZERO, needed) {
+        let tasks_at_once = if spec.kind == JobKind::Array { 1.0 } else { f64::from(spec.tasks) };
+        let exceeds = |limit: f64, per_task: f64| {
+            limit > 0.0 && per_task * tasks_at_once > limit + AMOUNT_TOLERANCE
+        };
+        if exceeds(team.cpus_max, spec.cpus) || exceeds(team.gpus_max, spec.gpus) {
             let error = format!("the job needs more than the limit of team `{}`", spec.team);
             return Some(error_reply(http_status::UNPROCESSABLE, error));
         }
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -204,7 +204,7 @@
         let mut takes_any = false;
         for (team, wanted) in wanted {
             let Some(quota) = pool.teams.get_mut(team) else { continue };
-            let amount = non_negative_min(wanted.map(Quantity::rounded_up), quota.free);
+            let amount = non_negative_min(*wanted, quota.free);
             takes_any |= !amount.is_zero();
             quota.free -= amount;
             *own.held.entry(team.clone()).or_default() += amount;
@@ -234,8 +234,7 @@
                 continue;
             };
             let unused = held.excess_over(used.get(team).copied().unwrap_or_default());
-            let unused = unused.map(Quantity::rounded_down);
-            let amount = non_negative_min(requested.map(Quantity::rounded_up), unused);
+            let amount = non_negative_min(*requested, unused);
             if amount.is_zero() {
                 continue;
             }
--- a/crates/quota/src/constants.rs
+++ b/crates/quota/src/constants.rs
@@ -1,16 +1,10 @@
 //! Constants of the quota crate.
 
-/// Units per CPU or GPU, in which quantities are stored: 9 billion CPUs fit in an `i64`.
+/// Units per CPU or GPU. Tasks request decimal numbers such as 0.05; with billionths the sum over 100,000 tasks (the
+/// protocol's maximum) is exact to a ten-thousandth, and 9 billion CPUs fit in an `i64`.
 pub const UNITS_PER_RESOURCE: f64 = 1e9;
-/// Fractions of a unit, in which the requests of tasks are counted: a sum over 100,000 tasks (the protocol's maximum) is
-/// as exact as the floating-point numbers that users send.
-pub const FRACTIONS_PER_UNIT: i128 = 1_000_000_000;
-/// Fractions per CPU or GPU.
-pub const FRACTIONS_PER_RESOURCE: f64 = UNITS_PER_RESOURCE * FRACTIONS_PER_UNIT as f64;
-/// Tolerance of a requested number, as a share of it: a few rounding errors of a floating-point division.
-pub const REQUEST_TOLERANCE: f64 = 8.0 * f64::EPSILON;
-/// Tolerance of the conversion of a limit from a decimal number, in units: far above the floating-point error of a number
-/// such as 0.1, and far below any real difference.
+/// Tolerance of the conversion from a decimal number, in units: far above the floating-point error of a number such as
+/// 0.1, and far below any real difference.
 pub const ROUNDING_TOLERANCE: f64 = 1e-2;
 /// Share of a running task's work assumed to remain, since claims do not contain the tasks' start times.
 pub const RUNNING_TASK_REMAINING_SHARE: f64 = 0.5;
--- a/crates/quota/src/planner/messages.rs
+++ b/crates/quota/src/planner/messages.rs
@@ -63,7 +63,7 @@
         /// Requested amount.
         amount: ResourceQuantities,
         /// The team's usage at the sender.
-        usage: Box<ReportedTeamUsage>,
+        usage: ReportedTeamUsage,
     },
     /// A request to stop work of a team that uses more than its guarantee, since work within another team's guarantee
     /// cannot be placed.
--- a/crates/quota/src/planner/mod.rs
+++ b/crates/quota/src/planner/mod.rs
@@ -152,7 +152,7 @@
                 Vec::new()
             }
             QuotaMessage::TransferRequest { team, level, amount, usage } => {
-                let transfer = OutgoingTransfer::requested(level, amount, *usage, now);
+                let transfer = OutgoingTransfer::requested(level, amount, usage, now);
                 self.on_transfer_request(from, team, transfer, now)
             }
             QuotaMessage::RevocationRequest { team, amount } => {
--- a/crates/quota/src/planner/transfers.rs
+++ b/crates/quota/src/planner/transfers.rs
@@ -252,7 +252,6 @@
                 .insert((team.clone(), to.clone()), now + TRANSFER_REQUEST_INTERVAL_MS);
             let usage = self.usage_of(&team);
             let level = missing.level;
-            let usage = Box::new(usage);
             let request = QuotaMessage::TransferRequest { team, level, amount, usage };
             actions.push(QuotaAction::SendMessage(to, request));
         }
--- a/crates/quota/src/quantities.rs
+++ b/crates/quota/src/quantities.rs
@@ -1,115 +1,59 @@
-//! Fixed-point quantities of CPUs and GPUs. Floating-point sums accumulate rounding errors: after many tasks of 0.1 CPUs
-//! have started and ended, the usage counted against a limit of 10 would be slightly wrong.
-//!
-//! Limits and everything that is stored are whole billionths. Requests of tasks are counted more finely: rounded to
-//! billionths, tasks that together use exactly their team's limit, such as 9 of 13.333333333333334 CPUs, would exceed it.
-
-use crate::constants::{
-    FRACTIONS_PER_RESOURCE, FRACTIONS_PER_UNIT, REQUEST_TOLERANCE, ROUNDING_TOLERANCE,
-    UNITS_PER_RESOURCE,
-};
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+//! Fixed-point quantities of CPUs and GPUs, in billionths. Floating-point sums accumulate rounding errors: after many
+//! tasks of 0.1 CPUs have started and ended, the usage counted against a limit of 10 would be slightly wrong.
+
+use crate::constants::{ROUNDING_TOLERANCE, UNITS_PER_RESOURCE};
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
-/// A number of CPUs or GPUs, in billionths of a billionth. May be negative. Addition, subtraction and multiplication
-/// saturate. Stored and sent as [`Quantity::units`].
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Quantity(i128);
+/// A number of CPUs or GPUs, in billionths. May be negative. Addition, subtraction and multiplication saturate.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Quantity(i64);
 
 impl Quantity {
     /// Zero.
     pub const ZERO: Quantity = Quantity(0);
     /// The largest quantity, which represents "no limit".
-    pub const MAX: Quantity = Quantity(i128::MAX);
+    pub const MAX: Quantity = Quantity(i64::MAX);
 
-    /// A quantity requested by a task. It is smaller than `number` by a few of the latter's floating-point rounding
-    /// errors, so that tasks fit into a limit that was divided among them.
+    /// A quantity requested by a task, rounded up, so that the usage of many tasks is never underestimated.
     pub fn from_request(number: f64) -> Quantity {
-        let fractions = number * FRACTIONS_PER_RESOURCE * (1.0 - REQUEST_TOLERANCE);
-        // A number that fits in 64 bits is converted much faster.
-        if fractions < i64::MAX as f64 {
-            let whole = fractions as i64;
-            Quantity(i128::from(whole) + i128::from((whole as f64) < fractions))
-        } else {
-            Quantity(fractions.ceil() as i128)
-        }
+        Quantity((number * UNITS_PER_RESOURCE - ROUNDING_TOLERANCE).ceil() as i64)
     }
 
-    /// A limit or guarantee, rounded down to billionths.
+    /// A limit or guarantee, rounded down.
     pub fn from_limit(number: f64) -> Quantity {
-        let units = (number * UNITS_PER_RESOURCE + ROUNDING_TOLERANCE).floor();
-        Quantity::from_units(units as i64)
+        Quantity((number * UNITS_PER_RESOURCE + ROUNDING_TOLERANCE).floor() as i64)
     }
 
-    /// This quantity in billionths, rounded up.
+    /// This quantity, in billionths.
     pub const fn units(self) -> i64 {
-        let units = self.0.div_euclid(FRACTIONS_PER_UNIT);
-        let is_whole = self.0.rem_euclid(FRACTIONS_PER_UNIT) == 0;
-        let rounded_up = if is_whole { units } else { units + 1 };
-        if rounded_up > i64::MAX as i128 {
-            i64::MAX
-        } else if rounded_up < i64::MIN as i128 {
-            i64::MIN
-        } else {
-            rounded_up as i64
-        }
+        self.0
     }
 
-    /// A quantity given in billionths; `i64::MAX` means [`Quantity::MAX`].
+    /// A quantity given in billionths.
     pub const fn from_units(units: i64) -> Quantity {
-        match units {
-            i64::MAX => Quantity::MAX,
-            units => Quantity(units as i128 * FRACTIONS_PER_UNIT),
-        }
-    }
-
-    /// This quantity rounded up to billionths, as it can be stored.
-    pub const fn rounded_up(self) -> Quantity {
-        Quantity::from_units(self.units())
-    }
-
-    /// This quantity rounded down to billionths, as it can be stored.
-    pub const fn rounded_down(self) -> Quantity {
-        Quantity(self.0.saturating_sub(self.0.rem_euclid(FRACTIONS_PER_UNIT)))
+        Quantity(units)
     }
 
     /// This quantity as a floating-point number, for display and estimates only: sums of these accumulate errors.
     pub fn to_f64(self) -> f64 {
-        self.units() as f64 / UNITS_PER_RESOURCE
+        self.0 as f64 / UNITS_PER_RESOURCE
     }
 
     /// This quantity multiplied by `count`.
     pub fn multiplied_by(self, count: u32) -> Quantity {
-        // A product of 64-bit numbers cannot overflow, and needs no check.
-        match i64::try_from(self.0) {
-            Ok(fractions) => Quantity(i128::from(fractions) * i128::from(count)),
-            Err(_) => Quantity(self.0.saturating_mul(i128::from(count))),
-        }
+        Quantity(self.0.saturating_mul(i64::from(count)))
     }
 
     /// How many times `each` fits into this quantity: 0 if this is negative, `u32::MAX` if `each` is not positive.
     pub fn fit_count(self, each: Quantity) -> u32 {
-        if each.0 <= 0 {
-            return u32::MAX;
+        match each.0 {
+            i64::MIN..=0 => u32::MAX,
+            each => u32::try_from((self.0 / each).max(0)).unwrap_or(u32::MAX),
         }
-        let count = match (u64::try_from(self.0), u64::try_from(each.0)) {
-            // Divided much faster than 128-bit numbers.
-            (Ok(fractions), Ok(each)) => i128::from(fractions / each),
-            _ => (self.0 / each.0).max(0),
-        };
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-}
-
-impl Serialize for Quantity {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        self.units().serialize(serializer)
-    }
-}
-
-impl<'de> Deserialize<'de> for Quantity {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Quantity, D::Error> {
-        i64::deserialize(deserializer).map(Quantity::from_units)
     }
 }
 
@@ -159,7 +103,7 @@
     pub const ZERO: ResourceQuantities =
         ResourceQuantities { cpus: Quantity::ZERO, gpus: Quantity::ZERO };
 
-    /// Quantities requested by a task ([`Quantity::from_request`]).
+    /// Quantities requested by a task, rounded up.
     pub fn from_request(cpus: f64, gpus: f64) -> ResourceQuantities {
         ResourceQuantities {
             cpus: Quantity::from_request(cpus),
