--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -12,6 +12,7 @@
     match case {
         "start-after-withdraw" => start_after_withdraw(trouble, folders, record),
         "service-stays-short" => service_stays_short(trouble, folders, record),
+        "gpu-machine-unused" => gpu_machine_unused(trouble, folders, record),
         "job-shuns-machine" => job_shuns_machine(trouble, folders, record),
         "room-held-for-services" => room_held_for_services(trouble, folders, record),
         "machine-stays-cordoned" => machine_stays_cordoned(trouble, folders, record),
@@ -408,3 +409,60 @@
     cluster.keep_logs();
     Some(held)
 }
+
+/// The machines without GPUs in a zone are full. An ordinary job for this zone, of any machine type, is left waiting
+/// beside a machine with GPUs that has room.
+fn gpu_machine_unused(trouble: bool, folders: (&str, &str), record: Arc<Record>) -> Option<bool> {
+    let cluster = Cluster::start(vanua(), seconds(1.5), folders, record.clone());
+    cluster.wait_until_ready();
+    // A gang with GPUs, which leaves 3 CPUs and 19 GB of its machine.
+    let model = Job {
+        class: "lithology-model",
+        team: "core-library",
+        shape: "gang",
+        cpus: 21.0,
+        gpus: 2.0,
+        memory_gb: 77.0,
+        image: "img-model",
+        dock: Some("suva-office"),
+        ..assay_batch("wk-000100", 1, 118.0)
+    };
+    cluster.submit(&model, 0);
+    // 36 services fill the three machines of each of these types.
+    let ids: Vec<String> =
+        (1..=if trouble { 36 } else { 33 }).map(|n| format!("wk-{n:06}")).collect();
+    for id in &ids {
+        let service = Job {
+            hulls: Some(vec!["reef-medium", "reef-large"]),
+            dock: Some("suva-office"),
+            scatter: false,
+            ..core_catalogue(id)
+        };
+        cluster.submit(&service, 0);
+    }
+    let all_run = || {
+        let runs = |id: &String| !cluster.runs_of(id).is_empty();
+        ids.iter().all(runs) && runs(&model.id)
+    };
+    if !cluster.wait(seconds(25.0), all_run) {
+        cluster.keep_logs();
+        return None;
+    }
+    let show = || {
+        for worker in cluster.workers().iter().filter(|w| w.dock == "suva-office") {
+            let (cpus, memory_gb) = worker.free();
+            record.line(format!(
+                "machine {} ({}): free: {cpus} CPUs, {memory_gb:.1} GB",
+                worker.name, worker.hull
+            ));
+        }
+    };
+    show();
+    let job = Job { dock: Some("suva-office"), ..assay_batch("wk-000101", 2, 3.0) };
+    cluster.submit(&job, 1);
+    let held = is_not_left_waiting(&cluster, &job, |w| !w.spot && w.dock == "suva-office");
+    cluster.poll(&job.id, 0);
+    show();
+    cluster.keep_logs();
+    Some(held)
+}
