--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -90,6 +90,26 @@
     }
 }
 
+/// `kit/next/vanua-core-lautoka-grown.toml`: the same controllers, larger limits of the teams, and more machines.
+pub fn vanua_grown() -> Site {
+    Site {
+        teams: &[("field-geology", 3000.0, 25_000.0), ("core-library", 3000.0, 35_000.0)],
+        capacity: offers(&[
+            ("reef-small", "lautoka-shed", 250, 200),
+            ("reef-medium", "lautoka-shed", 28, 9),
+            ("reef-medium", "suva-office", 20, 7),
+            ("reef-medium", "nadi-depot", 26, 9),
+            ("reef-large", "lautoka-shed", 10, 6),
+            ("reef-large", "suva-office", 7, 5),
+            ("reef-large", "nadi-depot", 9, 6),
+            ("reef-gpu", "lautoka-shed", 43, 33),
+            ("reef-gpu", "suva-office", 31, 24),
+            ("reef-gpu", "nadi-depot", 41, 31),
+        ]),
+        ..vanua()
+    }
+}
+
 /// A job as a user submits it.
 #[derive(Clone)]
 pub struct Job {
