--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,6 +1,6 @@
 //! The scenarios.
 
-use crate::cluster::{vanua, vanua_grown, Cluster, Job};
+use crate::cluster::{kylhall, vanua, vanua_grown, Cluster, Job};
 use crate::record::Record;
 use crate::worker::Worker;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
         "start-after-withdraw" => start_after_withdraw(trouble, folders, record),
         "service-stays-short" => service_stays_short(trouble, folders, record),
         "gpu-machine-unused" => gpu_machine_unused(trouble, folders, record),
+        "small-job-beside-arrays" => small_job_beside_arrays(trouble, folders, record),
         "job-shuns-machine" => job_shuns_machine(trouble, folders, record),
         "room-held-for-services" => room_held_for_services(trouble, folders, record),
         "machine-stays-cordoned" => machine_stays_cordoned(trouble, folders, record),
@@ -45,6 +46,7 @@
         eta_s: runs_s,
         due_s: None,
         runs_s: Some(runs_s),
+        quiet: false,
     }
 }
 
@@ -410,6 +412,44 @@
     Some(held)
 }
 
+/// One array of as many tasks as a job may have comes, of little tasks. A small job of another team is then left waiting
+/// beside machines that have room.
+fn small_job_beside_arrays(
+    trouble: bool,
+    folders: (&str, &str),
+    record: Arc<Record>,
+) -> Option<bool> {
+    let cluster = Cluster::start(kylhall(), seconds(1.5), folders, record.clone());
+    cluster.wait_until_ready();
+    let array = Job {
+        class: "pallet-recon",
+        team: "yard-systems",
+        cpus: 0.001,
+        memory_gb: 0.001,
+        quiet: true,
+        ..assay_batch("wk-000001", if trouble { 100_000 } else { 100 }, 6.0)
+    };
+    cluster.submit(&array, 0);
+    let job = Job {
+        class: "route-replay",
+        team: "liu-logistics-lab",
+        rank: "low",
+        cpus: 2.0,
+        memory_gb: 3.8,
+        image: "img-02",
+        ..assay_batch("wk-000100", 2, 4.0)
+    };
+    cluster.submit(&job, 1);
+    let held = is_not_left_waiting(&cluster, &job, |w| !w.spot);
+    let runs = cluster.runs_of(&array.id);
+    let ended = runs.iter().filter(|run| run.until_ms.is_some()).count();
+    record.line(format!("{}: {} starts, {ended} of them ended", array.id, runs.len()));
+    cluster.poll(&array.id, 0);
+    cluster.poll(&job.id, 0);
+    cluster.keep_logs();
+    Some(held)
+}
+
 /// The machines without GPUs in a zone are full. An ordinary job for this zone, of any machine type, is left waiting
 /// beside a machine with GPUs that has room.
 fn gpu_machine_unused(trouble: bool, folders: (&str, &str), record: Arc<Record>) -> Option<bool> {
--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -110,6 +110,41 @@
     }
 }
 
+/// `kit/sites/kylhall-norrkoping.toml`, with the guest team of `kit/more/LATER.md`.
+pub fn kylhall() -> Site {
+    Site {
+        zones: ["norrkoping-yard", "gavle-yard", "head-office"],
+        clock_off_ms: 100.0,
+        teams: &[("yard-systems", 0.0, 0.0), ("liu-logistics-lab", 0.0, 0.0)],
+        report_s: 1.0,
+        lease_s: 10.0,
+        gang_wait_s: 45.0,
+        gang_peer_s: 5.0,
+        cancel_s: 35.0,
+        limits: Limits { rps: 150.0, write_rps: 20.0, value_kb: 32.0, txn_ops: 16 },
+        cloud_rps: 4.0,
+        list_lag_s: 5.0,
+        cores: 0.08,
+        mem_mb: 40.0,
+        max_connections: 800,
+        types: vec![
+            machine_type("frost-small", (4.0, 0.0, 32.0), (0.27, 0.06), (40.0, 0.25, 30.0)),
+            machine_type("frost-medium", (16.0, 0.0, 32.0), (0.83, 0.21), (25.0, 0.8, 25.0)),
+            machine_type("frost-large", (64.0, 0.0, 256.0), (3.33, 0.73), (60.0, 0.8, 25.0)),
+        ],
+        capacity: offers(&[
+            ("frost-small", "norrkoping-yard", 3, 4),
+            ("frost-small", "gavle-yard", 3, 3),
+            ("frost-small", "head-office", 2, 3),
+            ("frost-medium", "norrkoping-yard", 1, 1),
+            ("frost-medium", "gavle-yard", 1, 1),
+            ("frost-medium", "head-office", 1, 1),
+            ("frost-large", "gavle-yard", 1, 1),
+            ("frost-large", "head-office", 1, 1),
+        ]),
+    }
+}
+
 /// A job as a user submits it.
 #[derive(Clone)]
 pub struct Job {
@@ -132,6 +167,8 @@
     pub due_s: Option<f64>,
     /// How long its tasks really run; none: until they are stopped.
     pub runs_s: Option<f64>,
+    /// What its tasks do is not written to the record: they are too many.
+    pub quiet: bool,
 }
 
 impl Job {
@@ -375,6 +412,7 @@
             image: job.image.to_string(),
             image_gb: job.image_gb,
             runs: job.runs_s.map(Duration::from_secs_f64),
+            quiet: job.quiet,
         };
         self.jobs.infos.lock().unwrap().insert(job.id.clone(), info);
         self.repeat("POST", "/v1/jobs", Some(&job.body()), at, &[200, 201, 400, 422])
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -20,6 +20,8 @@
     pub image: String,
     pub image_gb: f64,
     pub runs: Option<Duration>,
+    /// What its tasks do is not written to the record: they are too many.
+    pub quiet: bool,
 }
 
 /// A task that was on a machine: from when it had its image until it was gone.
@@ -41,6 +43,12 @@
     pub runs: Mutex<Vec<Run>>,
 }
 
+impl Jobs {
+    fn is_quiet(&self, task: &str) -> bool {
+        self.infos.lock().unwrap().get(job_of(task)).is_some_and(|info| info.quiet)
+    }
+}
+
 #[derive(Clone, Copy)]
 pub struct WorkerTiming {
     pub report_s: f64,
@@ -207,10 +215,12 @@
         if run.until_ms.is_none() {
             run.until_ms = Some(now);
             run.cause = cause.to_string();
-            self.record.line(format!(
-                "machine {}: {} launch {} ends: {cause}",
-                self.name, run.task, run.launch
-            ));
+            if !self.jobs.is_quiet(&run.task) {
+                self.record.line(format!(
+                    "machine {}: {} launch {} ends: {cause}",
+                    self.name, run.task, run.launch
+                ));
+            }
         }
     }
 
@@ -290,10 +300,12 @@
                     });
                     task.run = Some(runs.len() - 1);
                     drop(runs);
-                    self.record.line(format!(
-                        "machine {}: {name} launch {} starts",
-                        self.name, task.launch
-                    ));
+                    if !info.quiet {
+                        self.record.line(format!(
+                            "machine {}: {name} launch {} starts",
+                            self.name, task.launch
+                        ));
+                    }
                     changed = true;
                     if faulty {
                         task.phase = Phase::Exited("error");
@@ -351,8 +363,10 @@
             let name = order.get("shard").text().to_string();
             let launch = order.get("launch").int();
             let verb = order.get("verb").text();
-            self.record
-                .line(format!("machine {}: {from}: {verb} {name} launch {launch}", self.name));
+            if !self.jobs.is_quiet(&name) {
+                let what = format!("{verb} {name} launch {launch}");
+                self.record.line(format!("machine {}: {from}: {what}", self.name));
+            }
             let key = (name.clone(), launch);
             match verb {
                 "start" => self.start(inner, name, launch),
